--- /dev/null
+++ b/micagate/adapter.py
@@ -0,0 +1,217 @@
+"""The simulator's wire: translates its lines to events and actions to its lines. It decides nothing."""
+
+from __future__ import annotations
+
+import json
+import sys
+from collections.abc import Callable, Iterator
+from typing import Any, TextIO
+
+from micagate import interface as i
+from micagate.control import Gateway
+
+MICRO = 1_000_000
+STATES = {"healthy": i.HEALTHY, "cordoned": i.DRAINING, "deregistered": i.GONE}
+STATUSES = {"success": i.SUCCESS, "failure": i.FAILURE, "overloaded": i.FULL, "timed_out": i.TIMED_OUT,
+            "unreachable": i.UNREACHABLE, "broken": i.BROKEN, "withdrawn": i.CANCELLED, "void": i.VOID}
+REPEAT = 2  # bit of `Options`
+
+
+class Malformed(Exception):
+    """Input that the wire does not allow; the text says what is wrong."""
+
+
+def seconds(text: str) -> float:
+    """Seconds from a whole number of microseconds; absent is 0."""
+    return 0.0 if text == "-" else int(text) / MICRO
+
+
+def micros(value: float) -> int:
+    """Microseconds, rounded."""
+    return round(value * MICRO)
+
+
+def settings(facts: dict[str, Any]) -> i.Settings:
+    """Settings from the `Facts` of a `LAUNCH`; unknown keys are skipped."""
+    caps, rules, family = facts["Caps"], facts["Rules"], facts["FamilyInfo"]
+    classes = tuple(
+        i.RequestClass(name=c["Name"], aim=c["SloUs"] / MICRO, deadline=c["DeadlineUs"] / MICRO,
+                       effect=c["Effect"], group=c["Group"], window=c["WindowUs"] / MICRO,
+                       streaming=c["Streaming"], late_worth=c["LateWorth"])
+        for c in facts["Classes"])
+    plans = tuple(
+        i.Plan(name=p["Name"], rate=p["Refill"], burst=p["MostAtOnce"], at_once=p["AtOnce"],
+               ceiling_rate=p["HardRate"], ceiling_depth=p["CapDepth"], ceiling_slack=p["CapSlack"],
+               beyond_earns=p["BeyondEarns"], excess_cost=p["ExcessCost"])
+        for p in facts["Plans"])
+    return i.Settings(
+        classes=classes, plans=plans, gateways=facts["NInstances"], zone=facts["MyZone"],
+        tick=facts["TickUs"] / MICRO, max_attempts=caps["MaxAttempts"], can_cancel=caps["Cancel"],
+        second_copies=caps["SecondCopies"],
+        max_retry_advice=caps["MaxRetryAfterUs"] / MICRO if caps["RetryAfter"] else 0.0,
+        must_subscribe=facts["Discovery"] == "on_request", meter_period=family["MeterUs"] / MICRO,
+        cold_from=rules["ColdFrom"], ramp_time=rules["RampTimeUs"] / MICRO,
+        overload_factor=rules["OverloadFactor"], fall_time=rules["FallUs"] / MICRO)
+
+
+def entry(line: str) -> i.WorkerEntry:
+    """A line of a workers list."""
+    word, worker, area, _kind, cohort, state, hint, boot = line.split(" ")[:8]
+    if word != "ENTRY":
+        raise Malformed(f"expected an ENTRY, found {word!r}")
+    if state not in STATES:
+        raise Malformed(f"unknown state {state!r}")
+    started = seconds(boot)
+    return i.WorkerEntry(worker=worker, zone=area, cell=int(cohort), state=STATES[state],
+                         size=1.0 if hint == "-" else float(hint), started=started or None)
+
+
+def submit(v: list[str]) -> i.Event:
+    """SUBMIT: OpId Class Tariff Account TimeLeftUs PriceUnits Spread Base Options."""
+    options = 0 if v[8] == "-" else int(v[8])
+    return i.Request(request=v[0], klass=v[1], plan=v[2], customer=v[3], time_left=seconds(v[4]),
+                     units=1.0 if v[5] == "-" else float(v[5]), spread=1 if v[6] == "-" else int(v[6]),
+                     repeat=bool(options & REPEAT))
+
+
+def response(v: list[str]) -> i.Event:
+    """RESPONSE: OpId Shot FinalUnits Worker Terminal Status SpentUs Used Metrics."""
+    if v[5] not in STATUSES:
+        raise Malformed(f"unknown status {v[5]!r}")
+    used = 0 if v[7] == "-" else int(v[7])
+    return i.Outcome(request=v[0], attempt=int(v[1]), worker=v[3], status=STATUSES[v[5]],
+                     terminal=v[4] == "1", took=seconds(v[6]), used=(used - 1) / 100 if used else None,
+                     final_units=0.0 if v[2] == "-" else float(v[2]))
+
+
+# Events of an instance: how many values follow the instance, and what they become. The module asks for no
+# counts, probes or messages, so answers to these are read and left.
+EVENTS: dict[str, tuple[int, Callable[[list[str]], i.Event | None]]] = {
+    "SUBMIT": (9, submit),
+    "RESPONSE": (9, response),
+    "STARTED": (4, lambda v: i.StreamStarted(v[0], int(v[3]), v[2], seconds(v[1]))),
+    "WAKE": (1, lambda v: i.TimerFired(int(v[0]))),
+    "ABANDONED": (1, lambda v: i.Abandoned(v[0])),
+    "SUM": (4, lambda v: None),
+    "SAMPLED": (4, lambda v: None),
+    "MAIL": (2, lambda v: None),
+}
+
+
+def action_line(instance: int, action: i.Action) -> str:
+    """The wire's line for an action."""
+    match action:
+        case i.Send(request, worker, within):
+            return f"SUBMIT_TO {instance} {request} {worker} {micros(within)}"
+        case i.Refuse(request, retry_after):
+            return f"TURN_AWAY {instance} {request} {micros(retry_after)}"
+        case i.Fail(request):
+            return f"FINISH_ERROR {instance} {request}"
+        case i.Cancel(request, attempt):
+            return f"WITHDRAW {instance} {request} {attempt}"
+        case i.SetTimer(delay, ref):
+            return f"SET_TIMER {instance} {max(0, micros(delay))} {ref}"
+        case i.Subscribe():
+            return f"SUBSCRIBE {instance} 1"
+
+
+class Adapter:
+    """Hosts the gateways of one process."""
+
+    def __init__(self, source: TextIO, sink: TextIO) -> None:
+        self._lines = self._numbered(source)
+        self._sink = sink
+        self._gateways: dict[int, Gateway] = {}
+        self._tables: dict[int, tuple[i.WorkerEntry, ...]] = {}
+        self._number = 0
+        self._line = ""
+
+    def _numbered(self, source: TextIO) -> Iterator[str]:
+        for line in source:
+            self._number += 1
+            self._line = line.rstrip("\n")
+            yield self._line
+
+    def _next(self) -> str:
+        line = next(self._lines, None)
+        if line is None:
+            raise Malformed("input ended inside a batch")
+        return line
+
+    def run(self) -> int:
+        """Serve batches until the input ends; the exit status."""
+        try:
+            for line in self._lines:
+                if line:
+                    self._batch(line)
+        except (Malformed, ValueError, KeyError, IndexError, TypeError, UnicodeError) as error:
+            what = f"missing setting {error}" if isinstance(error, KeyError) else str(error)
+            print(f"micagate: line {self._number}: {what}: {self._line[:120]!r}", file=sys.stderr)
+            return 1
+        return 0
+
+    def _batch(self, line: str) -> None:
+        parts = line.split(" ")
+        if parts[0] != "CLOCK" or len(parts) < 3:
+            raise Malformed("expected CLOCK, a time and a batch number")
+        now, batch = int(parts[1]) / MICRO, int(parts[2])
+        out: list[str] = []
+        while (line := self._next()) != "FLUSH":
+            self._event(now, line, out)
+        out.append(f"YIELD {batch}\n")
+        self._sink.write("\n".join(out))
+        self._sink.flush()
+
+    def _event(self, now: float, line: str, out: list[str]) -> None:
+        word, _, rest = line.partition(" ")
+        values = rest.split(" ")
+        if word == "DIRECTORY":
+            self._tables[int(values[0])] = tuple(entry(self._next()) for _ in range(int(values[1])))
+        elif word == "LAUNCH":
+            number, seed, facts = rest.split(" ", 2)
+            self._gateways[int(number)] = Gateway(settings(json.loads(facts)), int(seed), now)
+        elif word == "DOWN":
+            self._gateways.pop(int(values[0]), None)
+        elif word == "UPDATE":
+            self._hand(now, int(values[0]), self._update(values), out)
+        elif word in EVENTS:
+            count, make = EVENTS[word]
+            if len(values) <= count:
+                raise Malformed(f"{word} has too few values")
+            event = make(values[1:])
+            if event is not None:
+                self._hand(now, int(values[0]), event, out)
+        else:
+            raise Malformed(f"unknown message {word!r}")
+
+    def _update(self, values: list[str]) -> i.Event:
+        scope = values[1]
+        if scope == "unavailable":
+            return i.WorkerList(failed=True)
+        if scope not in ("update", "replace", "restored"):
+            raise Malformed(f"unknown scope {scope!r}")
+        table = int(values[3])
+        if table not in self._tables:
+            raise Malformed(f"no DIRECTORY {table}")
+        return i.WorkerList(self._tables[table], whole=scope != "update")
+
+    def _hand(self, now: float, instance: int, event: i.Event, out: list[str]) -> None:
+        gateway = self._gateways.get(instance)
+        if gateway is None:
+            raise Malformed(f"no instance {instance}")
+        try:
+            actions = gateway.handle(now, event)
+        except Exception as error:  # a fault in the decisions goes out on the wire, not as a traceback
+            text = " ".join(f"{type(error).__name__}: {error}".split())
+            out.append(f"BAIL_OUT {instance} {text}")
+            return
+        out.extend(action_line(instance, action) for action in actions)
+
+
+def main() -> int:
+    """Run on standard input and output."""
+    return Adapter(sys.stdin, sys.stdout).run()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/micagate/interface.py
@@ -0,0 +1,226 @@
+"""Settings, events and actions of `micagate.control`.
+
+All times are seconds as floats on the caller's clock, which only goes forward; its zero means nothing.
+Nothing here decides: the checks below only turn away settings that make no sense.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+PURE, TOKEN, SIDE_EFFECT = "pure", "token", "side_effect"
+EFFECTS = (PURE, TOKEN, SIDE_EFFECT)
+GROUPS = ("all", "zone", "cell")
+HEALTHY, DRAINING, GONE = "healthy", "draining", "gone"
+SUCCESS, FAILURE, FULL, TIMED_OUT = "success", "failure", "full", "timed_out"
+UNREACHABLE, BROKEN, CANCELLED, VOID = "unreachable", "broken", "cancelled", "void"
+NEVER_RAN = frozenset({FULL, UNREACHABLE, VOID})
+
+
+def _check(owner: object, at_least: float, names: Iterable[str]) -> None:
+    for name in names:
+        value = getattr(owner, name)
+        if not at_least <= value < float("inf"):
+            raise ValueError(f"{type(owner).__name__}.{name} must be at least {at_least:g}, not {value!r}")
+
+
+@dataclass(frozen=True, slots=True)
+class RequestClass:
+    """A kind of request: the aim earns its full worth, the deadline ends it."""
+
+    name: str
+    aim: float
+    deadline: float
+    effect: str = PURE
+    group: str = "all"
+    window: float = 0.0
+    streaming: bool = False
+    late_worth: float = 0.0
+
+    def __post_init__(self) -> None:
+        _check(self, 0.0, ("aim", "deadline", "window", "late_worth"))
+        if self.effect not in EFFECTS:
+            raise ValueError(f"RequestClass.effect must be one of {EFFECTS}, not {self.effect!r}")
+        if self.group not in GROUPS:
+            raise ValueError(f"RequestClass.group must be one of {GROUPS}, not {self.group!r}")
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """A plan's quotas, each for one customer over all gateways; a rate or limit of 0 means none."""
+
+    name: str
+    rate: float = 0.0
+    burst: float = 0.0
+    at_once: float = 0.0
+    ceiling_rate: float = 0.0
+    ceiling_depth: float = 0.0
+    ceiling_slack: float = 0.0
+    beyond_earns: float = 0.0
+    excess_cost: float = 0.0
+
+    def __post_init__(self) -> None:
+        _check(self, 0.0, ("rate", "burst", "at_once", "ceiling_rate", "ceiling_depth", "ceiling_slack",
+                           "beyond_earns", "excess_cost"))
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    """What one gateway is told at its start."""
+
+    classes: tuple[RequestClass, ...]
+    plans: tuple[Plan, ...]
+    gateways: int = 1
+    zone: str = ""
+    tick: float = 0.001
+    max_attempts: int = 1
+    can_cancel: bool = False
+    second_copies: bool = False
+    max_retry_advice: float = 0.0  # 0: clients hear no advice
+    must_subscribe: bool = False  # the list of workers comes only to those who ask
+    meter_period: float = 0.0  # 0: no meter
+    cold_from: float = 1.0
+    ramp_time: float = 0.0
+    overload_factor: float = 2.0
+    fall_time: float = 1.0
+
+    def __post_init__(self) -> None:
+        _check(self, 1, ("gateways", "max_attempts", "overload_factor"))
+        _check(self, 0.0, ("tick", "max_retry_advice", "meter_period", "cold_from", "ramp_time", "fall_time"))
+        for name in ("classes", "plans"):
+            names = [entry.name for entry in getattr(self, name)]
+            if not names:
+                raise ValueError(f"Settings.{name} must not be empty")
+            if len(set(names)) < len(names):
+                raise ValueError(f"Settings.{name} must not name one twice: {names}")
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerEntry:
+    """A line of the list of workers. `started` is None where the start is long ago."""
+
+    worker: str
+    zone: str = ""
+    cell: int = 0
+    state: str = HEALTHY
+    size: float = 1.0
+    started: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerList:
+    """News of the workers: `whole` lists replace what was known, others change it.
+
+    `failed` says that a call or the subscription broke; it has no entries and the old list stands.
+    """
+
+    entries: tuple[WorkerEntry, ...] = ()
+    whole: bool = False
+    failed: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """A client's try. `spread` gateways may see this customer's requests."""
+
+    request: str
+    klass: str
+    plan: str
+    customer: str
+    time_left: float
+    units: float = 1.0
+    spread: int = 1
+    repeat: bool = False
+
+    def __post_init__(self) -> None:
+        _check(self, 1, ("spread",))
+        _check(self, 0.0, ("units",))
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """The one outcome of an attempt. `used` is the metered use as a share of the quota, if told."""
+
+    request: str
+    attempt: int
+    worker: str
+    status: str
+    terminal: bool
+    took: float
+    used: float | None = None
+    final_units: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class StreamStarted:
+    """The answer to an attempt has begun; the rest is between worker and client."""
+
+    request: str
+    attempt: int
+    worker: str
+    took: float
+
+
+@dataclass(frozen=True, slots=True)
+class TimerFired:
+    """A timer set by this gateway is due."""
+
+    ref: int
+
+
+@dataclass(frozen=True, slots=True)
+class Abandoned:
+    """The client has left; nothing more is owed."""
+
+    request: str
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """Start an attempt; it times out after `within` seconds, or with the client where that is 0."""
+
+    request: str
+    worker: str
+    within: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Refuse:
+    """Final: a retry is harmless."""
+
+    request: str
+    retry_after: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Fail:
+    """Final: nothing is said about whether it ran."""
+
+    request: str
+
+
+@dataclass(frozen=True, slots=True)
+class Cancel:
+    """Call off an attempt; its outcome still comes."""
+
+    request: str
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class SetTimer:
+    """Ask for a `TimerFired` after `delay` seconds."""
+
+    delay: float
+    ref: int
+
+
+@dataclass(frozen=True, slots=True)
+class Subscribe:
+    """Ask for news of the workers."""
+
+
+Event = WorkerList | Request | Outcome | StreamStarted | TimerFired | Abandoned
+Action = Send | Refuse | Fail | Cancel | SetTimer | Subscribe
+
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,132 @@
+"""Health and choice of worker."""
+
+from collections import Counter
+
+from drive import Driver, sends, workers
+
+from micagate import interface as i
+
+
+def serve(d: Driver, count: int, took: float = 0.1, slow: dict[str, float] | None = None) -> Counter[str]:
+    """Requests one after another, each answered; where they went."""
+    seen: Counter[str] = Counter()
+    for _ in range(count):
+        name, actions = d.ask(after=0.01)
+        (worker,) = sends(actions)
+        seen[worker] += 1
+        d.answer(name, worker, took=(slow or {}).get(worker, took), after=0.01)
+    return seen
+
+
+def test_a_stalled_worker_gets_nothing_until_it_answers():
+    d = Driver()
+    serve(d, 60)
+    name, actions = d.ask("write")
+    (stuck,) = sends(actions)
+    d.now += 2.0
+    assert stuck not in serve(d, 60)
+    d.answer(name, stuck)
+    assert stuck in serve(d, 60)
+
+
+def test_an_unreachable_worker_is_left_alone_then_tried_once():
+    d = Driver()
+    serve(d, 60)
+    name, actions = d.ask()
+    (dead,) = sends(actions)
+    d.answer(name, dead, i.UNREACHABLE)
+    assert dead not in serve(d, 10)
+    d.now += 1.0
+    out = [w for _ in range(12) for w in sends(d.ask()[1])]
+    assert out.count(dead) <= 1
+
+
+def test_a_slow_worker_gets_less_and_is_found_again():
+    d = Driver()
+    serve(d, 60)
+    serve(d, 100, slow={"w0": 1.5})
+    assert serve(d, 60, slow={"w0": 1.5})["w0"] <= 4
+    d.now += 60.0
+    assert serve(d, 100)["w0"] > 8
+
+
+def test_all_workers_looking_bad_does_not_stop_service():
+    d = Driver(max_attempts=1)
+    for _ in range(40):
+        name, actions = d.ask(after=0.05)
+        assert len(sends(actions)) == 1
+        d.answer(name, sends(actions)[0], i.FAILURE)
+
+
+def test_a_silent_worker_is_given_up_on_before_the_aim_where_a_repeat_is_safe():
+    d = Driver()
+    serve(d, 60)
+    name, actions = d.ask()
+    again = sends(d.pass_time(0.6))
+    assert len(again) == 1 and again[0] != sends(actions)[0]
+    alone = Driver(second_copies=False)
+    serve(alone, 60)
+    name, actions = alone.ask()
+    assert alone.pass_time(0.6) == [i.Cancel(name, 0)]
+    assert len(sends(alone.answer(name, sends(actions)[0], i.CANCELLED))) == 1
+
+
+def test_further_attempts_stay_within_the_budget():
+    d = Driver()
+    further = 0
+    for _ in range(200):
+        name, actions = d.ask()
+        while sent := sends(actions):
+            actions = d.answer(name, sent[0], i.FULL if d.shots[name] else i.FAILURE)
+            further += bool(sends(actions))
+    assert further <= 10 + 0.2 * 200
+
+
+def test_a_failed_subscription_is_asked_for_again_later():
+    d = Driver(must_subscribe=True)
+    assert d.give(i.WorkerList(failed=True)) == []
+    assert d.pass_time(3) == [i.Subscribe()]
+
+
+def test_settings_that_make_no_sense_name_their_field():
+    for make, field in ((lambda: i.Plan("p", rate=-1.0), "Plan.rate"),
+                        (lambda: Driver(gateways=0), "Settings.gateways"),
+                        (lambda: i.Request("r", "k", "p", "c", 1.0, spread=0), "Request.spread")):
+        try:
+            make()
+        except ValueError as error:
+            assert field in str(error)
+        else:
+            raise AssertionError(field)
+
+
+def test_a_gateway_among_many_keeps_to_a_few_workers_and_replaces_those_that_go():
+    d = Driver(40, gateways=300)
+    seen = serve(d, 80)
+    assert 1 <= len(seen) <= 8
+    gone = tuple(i.WorkerEntry(w, state=i.GONE) for w in seen)
+    d.give(i.WorkerList(gone))
+    again = serve(d, 80)
+    assert 1 <= len(again) <= 8 and not set(again) & set(seen)
+
+
+def test_gateways_among_many_do_not_agree_on_a_favourite():
+    firsts = set()
+    for seed in range(20):
+        d = Driver(0, gateways=300)
+        d.gateway.fleet._random.seed(seed)
+        d.give(workers(40))
+        firsts |= set(serve(d, 5))
+    assert len(firsts) > 10
+
+
+def test_the_wait_for_a_cold_worker_shortens_as_it_warms():
+    d = Driver(0, gateways=300, ramp_time=20.0)
+    d.give(workers(1, started=0.0))
+    d.ask()  # nothing known of any rate: the turn is drawn from a long pause
+    cold = d.gateway.fleet.workers["w0"]
+    cold.turn, first = d.now + cold.pause, cold.pause  # the longest that it may have drawn
+    d.gateway.fleet._brisk = 0.1
+    d.ask(after=15.0)
+    assert cold.pause < first / 2
+    assert cold.turn - d.now <= cold.pause
--- /dev/null
+++ b/tests/test_properties.py
@@ -0,0 +1,133 @@
+"""The rules under random legal orders of events."""
+
+from typing import Any
+
+from drive import Driver
+from hypothesis import given
+from hypothesis import strategies as st
+
+from micagate import interface as i
+
+STATUSES = [i.SUCCESS, i.FAILURE, i.FULL, i.TIMED_OUT, i.UNREACHABLE, i.BROKEN]
+STEPS = st.lists(st.tuples(
+    st.sampled_from(["ask", "ask", "ask", "answer", "answer", "list", "wait", "abandon"]),
+    st.integers(0, 10**6)), min_size=5, max_size=150)
+CLASSES = {"read": i.PURE, "keyed": i.TOKEN, "write": i.SIDE_EFFECT}
+
+
+class Watch(Driver):
+    """A driver that plays the world and holds the rules against every action."""
+
+    def __init__(self, **changes: Any) -> None:
+        self.open: dict[str, dict[str, Any]] = {}
+        self.out: dict[tuple[str, int], dict[str, Any]] = {}
+        self.state: dict[str, str] = {f"w{n}": i.HEALTHY for n in range(6)}
+        self.started: dict[str, float] = {}
+        self.spent: list[tuple[float, float]] = []
+        self.copies = changes.get("second_copies", True)
+        super().__init__(**changes)
+
+    def give(self, event: i.Event, after: float = 0.0) -> list[i.Action]:
+        """Hand over, then check all that comes back."""
+        actions = super().give(event, after)
+        for action in actions:
+            if isinstance(action, i.Send):
+                self.check_send(action)
+            elif isinstance(action, i.Refuse):
+                tries = self.open.pop(action.request)["tries"]
+                assert all(t["status"] in i.NEVER_RAN for t in tries)
+            elif isinstance(action, i.Fail):
+                del self.open[action.request]
+            elif isinstance(action, i.Cancel) and (key := (action.request, action.attempt)) in self.out:
+                self.out[key]["cancelled"] = True
+        return actions
+
+    def check_send(self, action: i.Send) -> None:
+        """The rules for an attempt."""
+        request = self.open[action.request]  # KeyError: sent after its end
+        tries = request["tries"]
+        assert self.now < request["deadline"]
+        assert self.state[action.worker] == i.HEALTHY
+        assert self.copies or all(t["status"] for t in tries)
+        ran = [t for t in tries if t["status"] not in i.NEVER_RAN]
+        if ran and request["effect"] == i.SIDE_EFFECT:
+            raise AssertionError("an unsafe request went out again")
+        if ran and request["effect"] == i.TOKEN:
+            assert int(ran[0]["worker"][1]) % 3 == int(action.worker[1]) % 3
+            assert self.now <= ran[0]["sent"] + 2.0
+        attempt = {"worker": action.worker, "sent": self.now, "status": "", "cancelled": False}
+        if not tries and request["plan"] == "capped":
+            self.spent.append((self.now, request["units"]))
+            for at, _ in self.spent:  # in every span: a third of the ceiling's depth and rate
+                used = sum(u for t, u in self.spent if t >= at)
+                assert used <= 24.0 / 3 + 6.0 / 3 * (self.now - at) + 1e-6
+        cold = self.started.get(action.worker, -99.0)
+        if self.now - cold < 1.0:
+            assert not any(o["worker"] == action.worker and o["sent"] >= cold for o in self.out.values())
+        tries.append(attempt)
+        self.out[action.request, len(tries) - 1] = attempt
+
+    def step(self, what: str, n: int) -> None:
+        """Play one step of the world."""
+        self.now += (n % 7) * 0.013
+        if what == "ask":
+            klass = list(CLASSES)[n % 3]
+            plan = ["free", "metered", "capped", "few"][n // 3 % 4]
+            name, left, units = f"r{self.made + 1}", 1.0 + n % 4, 1.0 + n // 12 % 3
+            self.open[name] = {"effect": CLASSES[klass], "tries": [], "deadline": self.now + left,
+                               "plan": plan, "units": units}
+            self.ask(klass, plan, f"{plan}-one", units, time_left=left)
+        elif what == "answer" and self.out:
+            key = list(self.out)[n % len(self.out)]
+            attempt = self.out.pop(key)
+            status = i.CANCELLED if attempt["cancelled"] and n % 2 else STATUSES[n // 5 % len(STATUSES)]
+            attempt["status"] = status
+            terminal = key[0] not in self.open or status == i.SUCCESS
+            if terminal:
+                self.open.pop(key[0], None)
+            self.answer(key[0], attempt["worker"], status, attempt=key[1], terminal=terminal,
+                        took=self.now - attempt["sent"], used=[None, 0.1, 2.0][n % 3])
+        elif what == "list":
+            name = f"w{n % 6}"
+            state = [i.HEALTHY, i.DRAINING, i.GONE, i.HEALTHY][n // 6 % 4]
+            self.state[name], start = state, None
+            if state == i.HEALTHY:
+                self.started[name] = start = self.now
+            self.give(i.WorkerList((i.WorkerEntry(name, "abc"[n % 6 % 3], n % 6 // 2, state,
+                                                  started=start),)))
+        elif what == "wait":
+            self.pass_time(n % 900 / 1000)
+        elif what == "abandon" and self.open:
+            name = list(self.open)[n % len(self.open)]
+            del self.open[name]
+            self.give(i.Abandoned(name))
+
+
+@given(STEPS, st.booleans(), st.booleans())
+def test_rules_hold_under_any_legal_order(steps, copies, cancel):
+    d = Watch(second_copies=copies, can_cancel=cancel)
+    for what, n in steps:
+        d.step(what, n)
+        assert all(d.now <= r["deadline"] for r in d.open.values()) or d.pass_time(0) is not None
+    for key, attempt in list(d.out.items()):  # all that is out comes back at last
+        d.pass_time(0.01)
+        attempt["status"] = i.TIMED_OUT
+        del d.out[key]
+        d.answer(key[0], attempt["worker"], i.TIMED_OUT, attempt=key[1], terminal=key[0] not in d.open)
+    d.pass_time(10)
+    assert not d.open  # nothing lost
+    assert not d.gateway._pending and not d.gateway._timers  # and nothing kept
+    assert set(d.gateway._out) == set(d.out)
+
+
+@given(STEPS)
+def test_the_same_events_give_the_same_actions(steps):
+    logs = []
+    for _ in range(2):
+        d, log = Watch(), []
+        give = d.give
+        d.give = lambda e, after=0.0, give=give, log=log: log.append(give(e, after)) or log[-1]
+        for what, n in steps:
+            d.step(what, n)
+        logs.append(log)
+    assert logs[0] == logs[1]
--- /dev/null
+++ b/tests/test_quotas.py
@@ -0,0 +1,155 @@
+"""Slices, stores, ceilings and at-once caps."""
+
+from drive import Driver, sends
+
+from micagate import interface as i
+from micagate.control import IDLE, Quotas
+
+PLAN = i.Plan("metered", rate=3.0, burst=12.0)
+
+
+def asked(quotas: Quotas, now: float, units: float, used: float | None = None, plan: i.Plan = PLAN):
+    a = quotas.account(now, "c", plan, 3)
+    a.asked += units
+    if used is not None:
+        a.metered(now, used, 2.0)
+    return a
+
+
+def test_an_unseen_customer_starts_at_the_floor_with_its_part_of_the_store():
+    a = asked(Quotas(0.0), 5.0, 0)
+    assert (a.slice, a.store) == (1.0, 4.0)
+
+
+def test_the_slice_follows_the_meter_between_floor_and_forecast():
+    quotas = Quotas(0.0)
+    for second in range(8):
+        a = asked(quotas, float(second), 1.0, used=0.5)
+    assert a.slice > 1.5  # little used elsewhere: more for here
+    assert a.slice <= 2 * a.forecast and a.slice <= PLAN.rate
+    high = a.slice
+    a = asked(quotas, 8.0, 3.0, used=2.0)
+    a = asked(quotas, 9.0, 3.0, used=2.0)
+    assert a.slice < high
+    for second in range(10, 20):
+        a = asked(quotas, float(second), 3.0, used=4.0)
+    assert a.slice == a.floor
+
+
+def test_without_readings_the_last_slice_stands():
+    quotas = Quotas(0.0)
+    for second in range(8):
+        a = asked(quotas, float(second), 1.0, used=0.5)
+    standing = asked(quotas, 8.0, 1.0).slice
+    for second in range(9, 15):
+        a = asked(quotas, float(second), 1.0)
+        assert a.slice == standing
+
+
+def test_a_customer_that_moved_away_falls_back_to_the_floor():
+    quotas = Quotas(0.0)
+    for second in range(8):
+        a = asked(quotas, float(second), 1.0, used=0.5)
+    assert asked(quotas, 20.0, 0).slice == a.floor
+
+
+def test_idle_customers_age_out_but_not_before_their_ceiling_is_full():
+    quotas = Quotas(0.0)
+    capped = i.Plan("capped", rate=1.0, burst=3.0, ceiling_rate=0.03, ceiling_depth=3.0)
+    a = quotas.account(0.0, "slow", capped, 3)
+    for n in range(1000):
+        quotas.account(1.0, f"c{n}", PLAN, 3)
+    quotas.account(2.0 + IDLE, "new", PLAN, 3)
+    assert len(quotas._accounts) == 2
+    assert quotas.account(3.0 + IDLE, "slow", capped, 3) is a
+
+
+def test_beyond_the_quota_goes_on_only_where_that_pays():
+    d = Driver()
+    d.now = 60.0
+    inside = sum(bool(sends(d.ask(plan="metered")[1])) for _ in range(20))
+    assert inside == 4  # a third of the store
+    capped = sum(bool(sends(d.ask(plan="capped", customer="k")[1])) for _ in range(20))
+    assert capped == 4  # beyond its 2 as well, down to half of its part of the ceiling
+
+
+def test_at_once_is_split_and_freed_by_outcomes():
+    d = Driver()
+    name, actions = d.ask(plan="few")
+    (worker,) = sends(actions)
+    assert sends(d.ask(plan="few")[1]) == []
+    d.answer(name, worker)
+    assert len(sends(d.ask(plan="few")[1])) == 1
+
+
+def test_units_are_settled_afterwards():
+    d = Driver()
+    name, actions = d.ask(plan="metered", units=1.0)
+    account = d.gateway._out[name, 0].account
+    d.answer(name, sends(actions)[0], final_units=3.5)
+    assert abs(account.store - (4.0 - 3.5)) < 1e-9
+
+
+def test_a_request_larger_than_the_part_of_the_store_is_not_starved():
+    d = Driver()
+    assert len(sends(d.ask(plan="metered", units=6.0)[1])) == 1
+
+
+def test_a_repeat_that_comes_after_its_aim_spends_nothing():
+    d = Driver()
+    assert sends(d.ask(time_left=3.0)[1])  # clients here wait 3 s a try, of 4 in all
+    for left, repeat, goes in ((3.0, True, True), (2.5, True, False), (2.5, False, True)):
+        d.made += 1
+        event = i.Request(f"r{d.made}", "read", "free", "c", left, repeat=repeat)
+        assert bool(sends(d.give(event))) is goes
+
+
+def test_coarse_readings_of_a_short_meter_are_averaged():
+    quotas = Quotas(0.0)
+    a = quotas.account(0.0, "c", PLAN, 3)
+    for n in range(40):  # a unit in every fourth half second: half the rate
+        a.metered(n * 0.5, 0.0 if (n + 2) % 4 else 2.0, 0.5)
+        assert 0.1 < a.use < 1.2
+    a.metered(30.0, 2.0, 2.0)  # a long period needs none of it
+    assert a.use == 2.0
+
+
+def test_slices_steer_to_a_little_under_the_quota():
+    quotas = Quotas(0.0)
+    a = asked(quotas, 0.0, 3.0)
+    for second in range(1, 40):
+        used = (a.slice + 1.0) / PLAN.rate  # one unit a second goes through the other gateways
+        a = asked(quotas, float(second), 3.0, used=used)
+    assert abs(a.slice + 1.0 - 0.9 * PLAN.rate) < 0.05
+
+
+def test_a_calm_customer_with_a_thin_part_is_not_starved_once_the_meter_shows_room():
+    a = (quotas := Quotas(0.0)).account(0.0, "c", PLAN, 300)  # a part of 0.04 units
+    assert quotas.inside(a, 1.0, False)  # one request goes unseen, as before
+    quotas.take(a, 1.0, True)
+    assert not quotas.inside(a, 1.0, False)  # nothing known yet
+    a.metered(1.0, 0.1, 2.0)
+    assert quotas.inside(a, 1.0, False)
+    assert not quotas.inside(a, 1.0, True)  # not while the back end is pressed
+    quotas.take(a, 1.0, True)
+    assert not quotas.inside(a, 1.0, False)  # two requests at the most ahead of the slice
+
+
+def test_a_flood_through_many_gateways_takes_little_at_each_of_them():
+    quotas, went = Quotas(0.0), 0
+    for n in range(200):  # ten a second for twenty seconds, the meter at many times the quota
+        a = quotas.account(n / 10, "c", PLAN, 300)
+        a.asked += 1
+        if quotas.inside(a, 1.0, False):
+            quotas.take(a, 1.0, True)
+            went += 1
+            a.metered(n / 10, 8.0, 2.0)
+    assert went <= 2
+
+
+def test_the_longer_forecast_outlasts_the_time_between_rare_requests():
+    quotas = Quotas(0.0)
+    for n in range(12):  # one request in ten seconds, well inside
+        a = asked(quotas, 10.0 * n, 1.0, used=0.2)
+    a = quotas.account(118.0, "c", PLAN, 300)
+    assert a.forecast < 0.05 and a.longer > 0.05
--- /dev/null
+++ b/tests/test_readme.py
@@ -0,0 +1,62 @@
+"""The library as its README shows it: example, public names, wrong settings, memory over a long run."""
+
+import contextlib
+import io
+import math
+import re
+from pathlib import Path
+
+import pytest
+from drive import SETTINGS, Driver, sends
+
+import micagate
+from micagate import Plan, RequestClass, Settings
+
+README = (Path(__file__).parent.parent / "README.md").read_text()
+
+
+def test_the_example_prints_a_send_its_timers_and_an_empty_list():
+    (code,) = re.findall(r"```python\n(.*?)```", README, re.S)
+    printed = io.StringIO()
+    with contextlib.redirect_stdout(printed):
+        exec(code, {})
+    lines = printed.getvalue().splitlines()
+    assert lines[0].startswith("Send(request='r1'")
+    assert lines[1:-1] and all(line.startswith("SetTimer(") for line in lines[1:-1])
+    assert lines[-1] == "[]"
+
+
+def test_public_names_are_there():
+    assert all(hasattr(micagate, name) for name in micagate.__all__)
+
+
+def test_a_long_run_leaves_nothing_behind():
+    d = Driver(12, gateways=300)
+    for n in range(3000):
+        d.pass_time(0.5)
+        name, actions = d.ask("write", customer=f"c{n}", plan="metered")
+        for worker in sends(actions):
+            d.answer(name, worker, took=0.1)
+    d.pass_time(10.0)
+    gateway = d.gateway
+    assert not gateway._pending and not gateway._out and not gateway._timers
+    assert not gateway.fleet._waiting
+    assert len(gateway.quotas._accounts) <= 70  # those of the last half minute
+    assert len(gateway.throttle._admits) < 10
+
+
+@pytest.mark.parametrize("field", ["classes", "plans"])
+def test_settings_with_none_or_the_same_name_twice_are_turned_away(field: str):
+    for wrong in ((), SETTINGS[field][:1] * 2):
+        with pytest.raises(ValueError, match=f"Settings.{field}"):
+            Settings(**{**SETTINGS, field: wrong})
+
+
+@pytest.mark.parametrize("value", [-1.0, math.nan, math.inf])
+def test_wrong_numbers_are_turned_away_by_the_field_s_name(value: float):
+    for make, field in ((Settings, "tick"), (RequestClass, "aim"), (Plan, "rate")):
+        good = {**SETTINGS} if make is Settings else {"name": "x", "aim": 1.0, "deadline": 2.0}
+        if make is Plan:
+            good = {"name": "x"}
+        with pytest.raises(ValueError, match=f"{make.__name__}.{field}"):
+            make(**{**good, field: value})
--- /dev/null
+++ b/tests/test_throttle.py
@@ -0,0 +1,239 @@
+"""The bucket and its loop."""
+
+from drive import SETTINGS, Driver, sends
+
+from micagate import control
+from micagate.control import Throttle
+from micagate.interface import RequestClass
+
+WORKERS = [f"w{n}" for n in range(9)]
+PLANS = ("a", "b", "c")
+
+
+def loaded(rate: int = 20, signals: int = 4, seconds: int = 1, throttle: Throttle | None = None,
+           start: float = 0.0) -> tuple[Throttle, int]:
+    """A throttle that was offered `rate` requests and told `signals` signals a second; what it let in."""
+    t, admitted = throttle or Throttle(0.0, 3), 0
+    t.workers = len(WORKERS)
+    for second in range(seconds):
+        for n in range(rate):
+            now = start + second + n / rate
+            admitted += t.admit(now)
+            if n < signals:
+                t.signal(now, WORKERS[(second * signals + n) % len(WORKERS)], PLANS[n % 3], now)
+    return t, admitted
+
+
+def test_without_control_everything_passes():
+    t, admitted = loaded(signals=0, seconds=30)
+    assert admitted == 600 and not t.on
+
+
+def test_control_starts_early_once_a_periods_worth_of_signals_came():
+    t, _ = loaded(signals=0, seconds=4)
+    assert not t.on
+    for n in range(2):
+        t.signal(4.0, WORKERS[n], PLANS[n], 4.0)
+    assert not t.on
+    t.signal(4.0, WORKERS[3], PLANS[2], 4.0)
+    assert t.on
+    assert t.rate == t.base == 20.0  # the rate let through over the period
+    assert not t.admit(4.0)  # the bucket starts full
+    assert t.admit(4.0 + 1 / 19.9)  # and leaks one per leak interval
+
+
+def test_the_leak_rate_follows_the_target_and_stays_in_bounds():
+    t, _ = loaded(signals=0, seconds=4)
+    loaded(signals=4, seconds=6, throttle=t, start=4.0)
+    assert t.on and t.rate < 0.8 * t.base
+    loaded(signals=20, seconds=60, throttle=t, start=10.0)
+    assert t.rate == control.SLOWEST * t.base
+
+
+def test_the_rate_rises_by_a_fixed_step_when_refusing_without_signals():
+    t, _ = loaded(signals=0, seconds=4)
+    loaded(signals=4, seconds=4, throttle=t, start=4.0)
+    low, due = t.rate, t._due
+    loaded(rate=40, signals=0, seconds=8, throttle=t, start=8.0)
+    low, due, start = t.rate, t._due, 16.0
+    while t._due == due:
+        loaded(rate=40, signals=0, seconds=1, throttle=t, start=start)
+        start += 1
+    assert abs(t.rate - low - control.RISE * t.base) < 1e-9
+
+
+def test_the_rate_is_not_raised_while_nothing_is_refused_and_control_ends_when_quiet():
+    t, _ = loaded(signals=0, seconds=4)
+    loaded(signals=4, seconds=6, throttle=t, start=4.0)
+    loaded(rate=2, signals=0, seconds=5, throttle=t, start=10.0)  # the last refusals pass
+    low = t.rate
+    loaded(rate=2, signals=0, seconds=6, throttle=t, start=15.0)
+    assert t.on and t.rate == low
+    loaded(rate=2, signals=0, seconds=12, throttle=t, start=21.0)
+    assert not t.on
+
+
+def test_two_sick_workers_of_nine_do_not_start_control():
+    t, _ = loaded(signals=0, seconds=4)
+    for n in range(200):
+        t.signal(4.0 + n / 100, WORKERS[n % 2], PLANS[n % 3], 4.0)
+    assert not t.on
+
+
+def test_a_sure_latecomer_is_refused_before_any_time_out():
+    d = Driver(3)
+    for _ in range(40):  # a pace of about ten a second
+        name, actions = d.ask("write", after=0.1)
+        d.answer(name, sends(actions)[0], took=0.1)
+    burst = sum(bool(sends(d.ask("write")[1])) for _ in range(30))
+    assert burst == 30  # a burst on idle workers goes through
+    d.now += 0.3  # well out, and thirty at ten a second are three seconds
+    assert not sends(d.ask("write")[1])
+    assert len(d.gateway.throttle._signals) == 1  # and the refusal tells the loop
+
+
+def test_one_plan_that_goes_wrong_everywhere_does_not_start_control():
+    t, _ = loaded(signals=0, seconds=4)
+    for n in range(200):
+        t.signal(4.0 + n / 100, WORKERS[n % 9], "a", 4.0)
+    assert not t.on
+    t.signal(6.0, WORKERS[0], "b", 6.0)
+    t.signal(6.0, WORKERS[1], "b", 6.0)
+    assert t.on  # two plans of three are overload
+
+
+def test_one_update_does_not_overshoot_on_a_backlogs_signals():
+    t, _ = loaded(signals=0, seconds=4)
+    loaded(signals=10, seconds=1, throttle=t, start=4.0)
+    before, due = t.rate, t._due
+    loaded(signals=10, seconds=3, throttle=t, start=5.0)
+    assert t._due > due and t.rate >= 0.65 * before
+
+
+def test_the_latecomer_guard_sees_when_all_workers_hang_at_once():
+    d = Driver(3)
+    for _ in range(40):
+        name, actions = d.ask("write", after=0.1)
+        d.answer(name, sends(actions)[0], took=0.1)
+    for _ in range(30):
+        d.ask("write")
+    d.now += 1.0  # every worker is silent far beyond the usual
+    assert not sends(d.ask("write")[1])
+
+
+def test_under_control_a_backlog_from_before_the_last_update_does_not_count():
+    t, _ = loaded(signals=0, seconds=4)
+    loaded(signals=4, seconds=1, throttle=t, start=4.0)
+    assert t.on
+    seen = len(t._signals)
+    t.signal(5.0, WORKERS[0], "a", 2.0)
+    assert len(t._signals) == seen
+    t.signal(5.0, WORKERS[0], "a", 4.95)
+    assert len(t._signals) == seen + 1
+
+
+def test_classes_with_long_aims_do_not_take_all_room_under_pressure():
+    slow = RequestClass("slow", aim=30.0, deadline=60.0, effect="side_effect")
+    d = Driver(3, classes=(*SETTINGS["classes"], slow))
+    for _ in range(40):
+        name, actions = d.ask("write", after=0.1)
+        d.answer(name, sends(actions)[0], took=0.1)
+    for _ in range(30):
+        d.ask("write")
+    d.now += 0.3
+    assert not sends(d.ask("slow")[1])
+
+
+def test_with_many_gateways_one_out_at_each_worker_can_be_a_backlog_already():
+    for gateways, goes in ((3, True), (11, False)):
+        d = Driver(6, gateways=gateways)
+        for _ in range(40):
+            name, actions = d.ask("write", after=0.15)  # often enough for Little's law
+            d.answer(name, sends(actions)[0], took=0.1)
+        for _ in range(5):
+            d.ask("write")
+        d.now += 0.3
+        assert bool(sends(d.ask("write")[1])) is goes
+
+
+def seldom(gateways: int = 300, took: float = 0.1, count: int = 8) -> Driver:
+    """A gateway that meets a request every seven tenths of a second."""
+    d = Driver(6, gateways=gateways)
+    for _ in range(count):
+        name, actions = d.ask("write", after=0.7)
+        for worker in sends(actions):
+            d.answer(name, worker, took=took)
+    return d
+
+
+def test_a_gateway_with_few_requests_refuses_none_while_answers_are_usual():
+    d = seldom(count=40)
+    assert d.made == len(d.shots)
+    assert all(sends(d.ask("write")[1]) for _ in range(5))  # nor a burst on idle workers
+
+
+def test_a_gateway_with_few_requests_refuses_most_when_all_answers_are_late_and_recovers():
+    d = seldom()
+    out, refused = [], 0
+    for _ in range(40):
+        name, actions = d.ask("write", after=0.3)
+        refused += not sends(actions)
+        out += [(d.now, name, worker) for worker in sends(actions)]
+        while out and out[0][0] < d.now - 0.9:  # each answer takes nearly the whole aim
+            _, late, worker = out.pop(0)
+            d.answer(late, worker, took=0.9)
+    assert refused >= 10
+    for _, late, worker in out:
+        d.answer(late, worker, took=0.9)
+    d.pass_time(10.0)  # nothing heard of trouble any more
+    assert sends(d.ask("write")[1])
+
+
+def test_one_lost_answer_does_not_close_a_gateway_with_few_requests():
+    d = seldom()
+    d.ask("write")  # never answered
+    went = 0
+    for _ in range(20):
+        d.pass_time(0.5)
+        name, actions = d.ask("write")
+        went += bool(sends(actions))
+        for worker in sends(actions):
+            d.answer(name, worker, took=0.1)
+    assert went >= 18
+
+
+def silent(every: int) -> Driver:
+    """A gateway with few requests at four plans where each `every`th answer is lost."""
+    d = Driver(6, gateways=300)
+    for n in range(60):
+        d.pass_time(0.5)
+        name, actions = d.ask("write", plan=("free", "metered", "few", "capped")[n % 4], customer=f"c{n}")
+        for worker in sends(actions):
+            if n % every:
+                d.answer(name, worker, took=0.1)
+    return d
+
+
+def test_lost_answers_are_no_signals_while_the_others_are_brisk():
+    d = silent(5)
+    assert d.gateway.fleet.lossy()
+    assert len(d.gateway.throttle._signals) <= 1 and not d.gateway.throttle.on  # the guard's, by chance
+
+
+def test_silence_of_all_workers_still_starts_control():
+    d = silent(1)
+    assert not d.gateway.fleet.lossy()
+    assert d.gateway.throttle.on
+
+
+def test_the_guard_refuses_only_what_the_bucket_let_through():
+    d = seldom()
+    throttle = d.gateway.throttle
+    d.gateway.fleet._slow_all_over = lambda now: 1.0  # it would refuse all
+    seen = len(throttle._signals)
+    d.ask("write")
+    assert len(throttle._signals) == seen + 1  # a signal, like a worker's full
+    throttle.on, throttle.rate, throttle.base, throttle.fill = True, 1e-9, 1.0, 5.0
+    throttle._due = throttle._leaked = d.now + 60
+    d.ask("write")
+    assert len(throttle._signals) == seen + 1  # refused by the bucket: none
