--- /dev/null
+++ b/oliveloft/__main__.py
@@ -0,0 +1,92 @@
+"""Starts one gatekeeper, and ends it on a signal: `python -m oliveloft`."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import logging
+import os
+import signal
+import sys
+import time
+
+import uvloop
+
+from micagate.control import Gateway
+from oliveloft.config import Config, ConfigError, load
+from oliveloft.discovery import Discovery, News
+from oliveloft.gateway import Bridge
+from oliveloft.server import Client, Server
+from oliveloft.workers import Workers
+
+log = logging.getLogger("oliveloft")
+
+STILL_COMING = 0.5  # seconds after SIGTERM in which connections are still taken (the front needs up to 0.4)
+SWEEP = 1.0  # seconds between looks at idle connections
+RESERVE = 48  # descriptors for all but clients and workers, and for connections on their way out
+CLIENT_SHARE = 0.6  # of the rest; the others are for workers
+BACKLOG = 1024
+
+
+async def serve(config: Config) -> int:
+    """Run until a signal; the exit status."""
+    loop = asyncio.get_running_loop()
+    room = max(16, config.sockets - RESERVE)
+    clients = int(room * CLIENT_SHARE)
+    workers = Workers(loop, room - clients, config.connect_timeout, config.idle_close, config.drain_grace)
+    bridge = Bridge(loop, config.settings, Gateway(config.settings, config.seed, loop.time()), workers)
+    server = Server(loop, config.settings, config.units_top, clients, bridge)
+    offset = time.time() - loop.time()  # once: a worker's start must be the same in every list
+
+    def tell(news: News) -> None:
+        bridge.news(news)
+        if len(workers):
+            server.able()
+
+    if config.known is not None:
+        try:
+            known = News({"index": 0, **config.known}, offset)
+            known.whole = True
+            tell(known)
+        except ValueError as error:
+            log.warning("known: %s; starting without", error)
+    stop = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    try:
+        listener = await loop.create_server(lambda: Client(server), *config.listen, backlog=BACKLOG)
+    except OSError as error:
+        raise ConfigError(f"listen: {error.strerror or error}") from error
+    discovery = Discovery(loop, config.discovery, offset, tell)
+    discovery.start()
+    gc.collect()
+    gc.freeze()
+    log.info("%s listens at %s:%d", config.name, *config.listen)
+
+    def sweep() -> None:
+        workers.sweep()
+        server.sweep()
+        loop.call_later(SWEEP, sweep)
+
+    loop.call_later(SWEEP, sweep)
+    await stop.wait()
+    log.info("stopping")
+    await asyncio.sleep(STILL_COMING)
+    listener.close()
+    await server.finish(max(c.deadline for c in config.settings.classes) + 0.2)
+    discovery.stop()
+    return 0
+
+
+def main() -> int:
+    """Read the configuration and serve."""
+    logging.basicConfig(level=logging.INFO, format="%(levelname)s %(message)s", stream=sys.stderr)
+    try:
+        return uvloop.run(serve(load(os.environ)))
+    except ConfigError as error:
+        print(f"oliveloft: {error}", file=sys.stderr)
+        return 2
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/oliveloft/config.py
@@ -0,0 +1,109 @@
+"""What one gatekeeper is told at its start: the JSON file named by PROXY_CONFIG, checked key by key."""
+
+from __future__ import annotations
+
+import json
+import resource
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from micagate.adapter import settings as read_settings
+from micagate.interface import Settings
+
+MICRO = 1_000_000
+
+
+class ConfigError(Exception):
+    """A configuration that cannot be used; the text names the key."""
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """A checked configuration; times are seconds."""
+
+    name: str
+    listen: tuple[str, int]
+    discovery: tuple[str, int]
+    seed: int
+    sockets: int
+    known: dict[str, Any] | None
+    settings: Settings
+    drain_grace: float
+    connect_timeout: float
+    idle_close: float
+    units_top: float
+
+
+def address(text: object) -> tuple[str, int]:
+    """Host and port of `host:port`; ValueError where it is none."""
+    if not isinstance(text, str):
+        raise ValueError(f"{text!r} is not host:port")
+    host, colon, port = text.rpartition(":")
+    if not host or not colon or not port.isdecimal() or not 0 < int(port) < 65536:
+        raise ValueError(f"{text!r} is not host:port")
+    return host.strip("[]"), int(port)
+
+
+def load(env: Mapping[str, str]) -> Config:
+    """The configuration that the environment names."""
+    path = env.get("PROXY_CONFIG")
+    if not path:
+        raise ConfigError("PROXY_CONFIG: not set")
+    try:
+        with open(path, encoding="utf-8") as file:
+            raw = json.load(file)
+    except (OSError, ValueError) as error:
+        raise ConfigError(f"PROXY_CONFIG: cannot read {path}: {error}") from error
+    if not isinstance(raw, dict):
+        raise ConfigError(f"PROXY_CONFIG: {path} holds no JSON object")
+    return parse(raw, env)
+
+
+def parse(raw: dict[str, Any], env: Mapping[str, str]) -> Config:
+    """A checked configuration from its JSON object; the environment fills in what that leaves out."""
+    facts = raw.get("settings")
+    if not isinstance(facts, dict):
+        raise ConfigError("settings: missing or no object")
+    try:
+        settings = read_settings(facts)
+        grace = facts["Rules"]["DrainGraceUs"] / MICRO
+        connect, idle = (facts["Caps"][key] / MICRO for key in ("ConnectTimeoutUs", "IdleCloseUs"))
+        units_top = float(facts["FamilyInfo"].get("UnitsTop", "inf"))
+    except KeyError as error:
+        raise ConfigError(f"settings: missing key {error}") from error
+    except (TypeError, ValueError, AttributeError, IndexError) as error:
+        raise ConfigError(f"settings: {error}") from error
+    for key, value in (("DrainGraceUs", grace), ("ConnectTimeoutUs", connect), ("IdleCloseUs", idle)):
+        if not 0 <= value < float("inf"):
+            raise ConfigError(f"settings.{key}: must be at least 0, not {value!r}")
+    known = raw.get("known")
+    if known is not None and not isinstance(known, dict):
+        raise ConfigError("known: no object")
+    try:
+        seed = int(str(raw.get("seed", "0")), 16)
+    except ValueError as error:
+        raise ConfigError(f"seed: {raw['seed']!r} is no hexadecimal number") from error
+    return Config(
+        name=str(raw.get("name") or env.get("PROXY_NAME") or "oliveloft"),
+        listen=_address(raw, env, "listen", "PROXY_LISTEN"),
+        discovery=_address(raw, env, "discovery", "PROXY_DISCOVERY"),
+        seed=seed, sockets=_sockets(raw), known=known, settings=settings, drain_grace=grace,
+        connect_timeout=connect, idle_close=idle, units_top=units_top)
+
+
+def _address(raw: dict[str, Any], env: Mapping[str, str], key: str, variable: str) -> tuple[str, int]:
+    try:
+        return address(raw.get(key, env.get(variable)))
+    except ValueError as error:
+        raise ConfigError(f"{key}: {error}") from error
+
+
+def _sockets(raw: dict[str, Any]) -> int:
+    """How many descriptors the process may hold: the limit told, or the system's where that is lower."""
+    limits = raw.get("limits", {})
+    told = limits.get("sockets", 1024) if isinstance(limits, dict) else None
+    if not isinstance(told, int) or isinstance(told, bool) or told < 32:
+        raise ConfigError(f"limits.sockets: must be a whole number from 32, not {told!r}")
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return told if soft == resource.RLIM_INFINITY else min(told, soft)
--- /dev/null
+++ b/oliveloft/gateway.py
@@ -0,0 +1,176 @@
+"""The bridge: owns requests and attempts, hands events to the module and carries out its actions.
+
+It decides nothing. Every request that was submitted gets one final reply, at its deadline at the latest.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections import deque
+from collections.abc import Callable
+
+from micagate import interface as i
+from micagate.control import Gateway
+from oliveloft.discovery import News
+from oliveloft.workers import Answer, Attempt, Workers
+
+log = logging.getLogger("oliveloft")
+
+Reply = Callable[[int, bytes, bytes], None]  # status, header lines, body
+
+
+class Request:
+    """A client's request until its final reply is out and its attempts have ended."""
+
+    __slots__ = ("event", "head", "body", "deadline", "reply", "attempts", "ended", "out", "timer")
+
+    def __init__(self, event: i.Request, head: bytes, body: bytes, deadline: float, reply: Reply) -> None:
+        self.event, self.head, self.body, self.deadline = event, head, body, deadline
+        self.reply: Reply | None = reply
+        self.attempts: list[Attempt] = []
+        self.out = 0
+        self.ended = False
+        self.timer: asyncio.TimerHandle | None = None
+
+
+class Bridge:
+    """Between the sockets and the module."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, settings: i.Settings, module: Gateway,
+                 workers: Workers) -> None:
+        self._loop, self._settings, self._module, self._workers = loop, settings, module, workers
+        self._requests: dict[str, Request] = {}
+        self._inbox: deque[tuple[i.Event, str]] = deque()  # events, and the request that each is about
+        self._busy = False
+
+    def holds(self, name: str) -> bool:
+        """Whether a request of this id is still held, or an attempt of it still out."""
+        return name in self._requests
+
+    def submit(self, event: i.Request, head: bytes, body: bytes, deadline: float, reply: Reply) -> Request:
+        """Take in a request; `reply` is called once unless the client leaves before."""
+        request = self._requests[event.request] = Request(event, head, body, deadline, reply)
+        request.timer = self._loop.call_at(deadline, self._expired, request)
+        self._hand(event, event.request)
+        return request
+
+    def abandon(self, request: Request) -> None:
+        """The client has left."""
+        if not request.ended:
+            self._close(request)
+            self._hand(i.Abandoned(request.event.request), request.event.request)
+
+    def news(self, news: News) -> None:
+        """Discovery has told of changes."""
+        self._workers.update(news.endpoints, news.whole)
+        self._hand(i.WorkerList(tuple(e.entry for e in news.endpoints), whole=news.whole), "")
+
+    def _hand(self, event: i.Event, about: str) -> None:
+        """Let the module handle an event, and after it all that came of its actions."""
+        self._inbox.append((event, about))
+        if self._busy:
+            return
+        self._busy = True
+        try:
+            while self._inbox:
+                event, about = self._inbox.popleft()
+                try:
+                    actions = self._module.handle(self._loop.time(), event)
+                except Exception:
+                    # Guards the process: a fault in the decisions fails the request that it was about.
+                    log.exception("fault in the module at %s", type(event).__name__)
+                    self._fault(about)
+                    continue
+                for action in actions:
+                    self._act(action, about)
+        finally:
+            self._busy = False
+
+    def _fault(self, about: str) -> None:
+        request = self._requests.get(about)
+        if request is not None and not request.ended:
+            self._end(request, 500, b"", b"")
+            self._inbox.append((i.Abandoned(about), about))
+
+    def _act(self, action: i.Action, about: str) -> None:
+        match action:
+            case i.SetTimer(delay, ref):
+                self._loop.call_later(max(0.0, delay), self._fired, ref, about)
+            case i.Send(name, worker, within):
+                self._send(name, worker, within)
+            case i.Refuse(name, retry_after):
+                advice = b"Retry-After: %.3f\r\n" % retry_after if retry_after > 0 else b""
+                self._end(self._requests.get(name), 503, advice, b"")
+            case i.Fail(name):
+                self._end(self._requests.get(name), 502, b"", b"")
+            case i.Cancel(name, number):
+                request = self._requests.get(name)
+                if request is not None and number < len(request.attempts):
+                    request.attempts[number].give_up(i.CANCELLED)
+            case i.Subscribe():
+                pass  # discovery is watched from the start
+
+    def _fired(self, ref: int, about: str) -> None:
+        self._hand(i.TimerFired(ref), about)
+
+    def _send(self, name: str, worker: str, within: float) -> None:
+        request, now = self._requests.get(name), self._loop.time()
+        if request is None:
+            log.error("the module sent %s, which is not held", name)
+            return
+        attempt = Attempt(name, len(request.attempts), worker, request.head, request.body, request.deadline,
+                          now, self._reported)
+        request.attempts.append(attempt)
+        request.out += 1
+        if (request.ended or now >= request.deadline or attempt.number >= self._settings.max_attempts
+                or (request.out > 1 and not self._settings.second_copies)):
+            attempt.finish(i.VOID)
+            return
+        if 0 < within < request.deadline - now:
+            attempt.deadline = now + within
+            attempt.timer = self._loop.call_later(within, attempt.give_up, i.TIMED_OUT)
+        self._workers.send(attempt)
+
+    def _reported(self, attempt: Attempt, status: str, answer: Answer | None) -> None:
+        """An attempt has ended: the first success answers the client, the module hears of each."""
+        request = self._requests[attempt.request]
+        request.out -= 1
+        if status == i.SUCCESS and answer is not None and not request.ended:
+            self._end(request, 200, b"".join(answer.headers), answer.body)
+        outcome = i.Outcome(
+            request=attempt.request, attempt=attempt.number, worker=attempt.worker, status=status,
+            terminal=request.ended, took=self._loop.time() - attempt.began,
+            used=answer.used if answer is not None else None)
+        self._forget(request)
+        self._hand(outcome, attempt.request)
+
+    def _expired(self, request: Request) -> None:
+        """The client's deadline: what is out has timed out, and whoever still waits hears so."""
+        for attempt in request.attempts:
+            attempt.give_up(i.TIMED_OUT)
+        if not request.ended:
+            # Guards against a request that the module forgot: it would be lost.
+            self._end(request, 504, b"", b"")
+            self._hand(i.Abandoned(request.event.request), request.event.request)
+
+    def _end(self, request: Request | None, status: int, headers: bytes, body: bytes) -> None:
+        """The final reply; a second one is none."""
+        if request is None or request.ended:
+            return
+        reply = request.reply
+        self._close(request)
+        if reply is not None:
+            reply(status, headers, body)
+
+    def _close(self, request: Request) -> None:
+        request.ended, request.reply = True, None
+        self._forget(request)
+
+    def _forget(self, request: Request) -> None:
+        """Drop a request that is over."""
+        if request.ended and not request.out:
+            if request.timer is not None:
+                request.timer.cancel()
+                request.timer = None
+            self._requests.pop(request.event.request, None)
--- /dev/null
+++ b/oliveloft/server.py
@@ -0,0 +1,406 @@
+"""The side of the clients: HTTP/1.1 connections, what a request must look like, and replies in order."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import re
+from collections import deque
+from typing import cast
+
+import httptools
+
+from micagate import interface as i
+from oliveloft.gateway import Bridge, Request
+from oliveloft.workers import HOP_BY_HOP, MAX_BODY, MAX_HEAD
+
+log = logging.getLogger("oliveloft")
+
+IDLE = 75.0  # seconds after which an idle client connection is closed
+SLOW = 10.0  # seconds that a client may take over sending a request, or over reading a reply
+LINGER = 1.0  # seconds in which the rest of a turned-down request is read off, so that the reply arrives
+PIPELINE = 16  # requests held of one connection before it is read no further
+LONGEST = 86400.0  # seconds: a longer X-Timeout is absurd
+
+DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
+CUSTOMER = re.compile(rb"[0-9a-fA-F]{16}")
+NAME = re.compile(rb"[A-Za-z0-9._~-]{1,128}")
+REASONS = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed",
+           408: b"Request Timeout", 413: b"Content Too Large", 431: b"Request Header Fields Too Large",
+           500: b"Internal Server Error", 501: b"Not Implemented", 502: b"Bad Gateway",
+           503: b"Service Unavailable", 504: b"Gateway Timeout"}
+# Of the gatekeeper's own making, or for this hop only; the rest of a request's headers goes on.
+NOT_ON = HOP_BY_HOP | {b"x-timeout", b"expect"}
+
+
+class BadRequest(Exception):
+    """A request that is turned down unseen; the status and what is wrong."""
+
+    def __init__(self, status: int, why: str) -> None:
+        super().__init__(why)
+        self.status = status
+
+
+class Incoming:
+    """A request as it comes in."""
+
+    __slots__ = ("seen", "method", "url", "fields", "lines", "twice", "body", "size", "keep", "refusal")
+
+    def __init__(self, seen: float) -> None:
+        self.seen = seen  # when its first byte was seen
+        self.method = b""
+        self.url = b""
+        self.fields: dict[bytes, bytes] = {}
+        self.lines: list[bytes] = []  # the header lines that go on
+        self.twice = b""
+        self.body: list[bytes] = []
+        self.size = 0
+        self.keep = True
+        self.refusal: tuple[int, str] | None = None
+
+
+class Client(asyncio.Protocol):
+    """One client connection: requests are served one after another, replies go out in their order."""
+
+    __slots__ = ("_server", "_transport", "_parser", "_incoming", "_headed", "_queue", "_current", "_keep",
+                 "_busy", "_paused", "_stopped", "_ended", "lingering", "since", "overflow")
+
+    def __init__(self, server: Server) -> None:
+        self._server = server
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._incoming: Incoming | None = None
+        self._headed = False
+        self._queue: deque[Incoming] = deque()
+        self._current: Request | None = None
+        self._busy = False  # a request is being answered
+        self._keep = True
+        self._paused = False  # the client does not read its replies
+        self._stopped = False  # nothing further is read of it
+        self._ended = False  # the last reply is out
+        self.lingering = False
+        self.since = 0.0  # when it became idle, or when the request on its way began
+        self.overflow = False  # one too many: its first request is refused
+
+    # The transport's side.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """A client has connected."""
+        self._transport = cast(asyncio.Transport, transport)
+        self.since = self._server.loop.time()
+        self._server.joined(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """The client has left; what it asked for is owed no more."""
+        self._transport = None
+        self._queue.clear()
+        current, self._current = self._current, None
+        self._server.left(self)
+        if current is not None:
+            self._server.bridge.abandon(current)
+
+    def pause_writing(self) -> None:
+        """The client does not read: nothing more is begun for it."""
+        self._paused = True
+        self.since = self._server.loop.time()
+
+    def resume_writing(self) -> None:
+        """The client reads again."""
+        self._paused = False
+        self._next()
+
+    def data_received(self, data: bytes) -> None:
+        """A piece of a request, or several requests."""
+        if self._stopped:
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            pass  # turned down when its head was read
+        except httptools.HttpParserError as error:
+            cause = error.__context__
+            known = isinstance(cause, BadRequest)
+            self._turn_down(cause.status if isinstance(cause, BadRequest) else 400,
+                            str(cause) if known else "malformed request")
+
+    # The parser's side.
+
+    def on_message_begin(self) -> None:
+        """A request begins: its time counts from here."""
+        now = self._server.loop.time()
+        self._incoming = Incoming(now)
+        self._headed = False
+        if not self._busy:
+            self.since = now
+
+    def on_url(self, url: bytes) -> None:
+        """A piece of the target."""
+        incoming = cast(Incoming, self._incoming)
+        incoming.url += url
+        self._count(incoming, len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """A header, or a trailer, which is left."""
+        incoming = cast(Incoming, self._incoming)
+        self._count(incoming, len(name) + len(value) + 4)
+        if self._headed:
+            return
+        lower = name.lower()
+        if lower in incoming.fields:
+            incoming.twice = lower if lower.startswith(b"x-") else incoming.twice
+        incoming.fields[lower] = value
+        if lower not in NOT_ON:
+            incoming.lines.append(b"%b: %b\r\n" % (name, value))
+
+    def _count(self, incoming: Incoming, size: int) -> None:
+        incoming.size += size
+        if incoming.size > MAX_HEAD:
+            raise BadRequest(431, "head too large")
+
+    def on_headers_complete(self) -> None:
+        """The head is whole."""
+        incoming = cast(Incoming, self._incoming)
+        self._headed = True
+        incoming.method, incoming.size = self._parser.get_method(), 0
+        if self._parser.should_upgrade():
+            raise BadRequest(501, "no upgrade is served")
+        length = incoming.fields.get(b"content-length")
+        if length is not None and int(length) > MAX_BODY:
+            raise BadRequest(413, "body too large")
+        if (incoming.fields.get(b"expect", b"").lower() == b"100-continue" and not self._busy
+                and self._transport is not None):
+            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, data: bytes) -> None:
+        """A piece of the body."""
+        incoming = cast(Incoming, self._incoming)
+        incoming.size += len(data)
+        if incoming.size > MAX_BODY:
+            raise BadRequest(413, "body too large")
+        incoming.body.append(data)
+
+    def on_message_complete(self) -> None:
+        """A request is whole."""
+        incoming, self._incoming = cast(Incoming, self._incoming), None
+        incoming.keep = self._parser.should_keep_alive()
+        self._queue.append(incoming)
+        if len(self._queue) >= PIPELINE and self._transport is not None:
+            self._transport.pause_reading()
+        self._next()
+
+    # Serving.
+
+    def _turn_down(self, status: int, why: str) -> None:
+        """Answer what cannot be read in its turn, then close; nothing after it is read."""
+        self._stopped = True
+        incoming = self._incoming or Incoming(self._server.loop.time())
+        self._incoming = None
+        incoming.refusal, incoming.keep = (status, why), False
+        self._queue.append(incoming)
+        self._next()
+
+    def _next(self) -> None:
+        """Begin the next request, if none is on its way."""
+        while self._queue and not (self._busy or self._paused or self._ended) and self._transport is not None:
+            incoming = self._queue.popleft()
+            if not self._queue:
+                self._transport.resume_reading()
+            self._busy = True
+            self._keep = incoming.keep and not self.overflow
+            if incoming.refusal is not None:
+                self._reject(*incoming.refusal)
+                continue
+            try:
+                self._begin(incoming)
+            except BadRequest as error:
+                self._reject(error.status, str(error))
+
+    def _begin(self, incoming: Incoming) -> None:
+        path, _, query = incoming.url.partition(b"?")
+        if path[:1] != b"/":
+            if path == b"*" or incoming.method == b"CONNECT":
+                raise BadRequest(400, "target")
+            try:
+                parsed = httptools.parse_url(incoming.url)  # the absolute form, which a server must take
+            except httptools.HttpParserError as error:
+                raise BadRequest(400, "target") from error
+            path, query = parsed.path or b"/", parsed.query or b""
+        if path == b"/healthz":
+            if incoming.method not in (b"GET", b"HEAD"):
+                raise BadRequest(405, "method")
+            ready = self._server.ready()
+            self.reply(200 if ready else 503, b"", b"ok\n" if ready and incoming.method == b"GET" else b"")
+            return
+        server, now = self._server, self._server.loop.time()
+        event, head, deadline = server.read(incoming, path, query, now)
+        if self.overflow:
+            self.reply(503, b"Retry-After: 0.1\r\n", b"")
+            return
+        # A reply may come before `submit` returns; then there is nothing left to abandon.
+        request = server.bridge.submit(event, head, b"".join(incoming.body), deadline, self.reply)
+        if not request.ended:
+            self._current = request
+
+    def _reject(self, status: int, why: str) -> None:
+        """A request that was never taken on: the reason goes out, and the connection is closed.
+
+        A reader that is still sending would lose the reply to a reset, so what it sends is read off.
+        """
+        self._keep = status in (404, 405)
+        self._stopped = self._stopped or not self._keep
+        self.lingering = not self._keep
+        self.reply(status, b"Content-Type: text/plain\r\n", why.encode() + b"\n")
+
+    def reply(self, status: int, headers: bytes, body: bytes) -> None:
+        """The final reply to the request on its way."""
+        self._current = None
+        self._busy = False
+        transport = self._transport
+        if transport is None:
+            return
+        keep = self._keep and not self._server.closing
+        self.since = self._server.loop.time()
+        transport.write(b"HTTP/1.1 %d %b\r\n%bContent-Length: %d\r\n%b\r\n%b" % (
+            status, REASONS[status], headers, len(body), b"" if keep else b"Connection: close\r\n", body))
+        if keep:
+            if self._queue:
+                self._server.loop.call_soon(self._next)
+            return
+        self._stopped = self._ended = True
+        self._queue.clear()
+        if self.lingering:
+            transport.write_eof()
+            self._server.loop.call_later(LINGER, self.close)
+        else:
+            transport.close()
+
+    def idle(self) -> bool:
+        """Whether nothing of a request is on its way."""
+        return not self._busy and self._incoming is None and not self._queue and not self.lingering
+
+    def close(self) -> None:
+        """Close between requests, or once a client has been given up."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def sweep(self, now: float) -> None:
+        """Close what has been idle, or slow, for too long."""
+        waited = now - self.since
+        if self._transport is None or self.lingering:
+            return
+        if self._paused:
+            if waited > SLOW:
+                self._transport.abort()  # guards the memory against a client that does not read
+        elif self.idle():
+            if waited > IDLE:
+                self._transport.close()
+        elif not self._busy and self._incoming is not None and waited > SLOW:
+            self._turn_down(408, "too slow")
+
+
+class Server:
+    """All client connections, and the bound on them."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, settings: i.Settings, units_top: float, limit: int,
+                 bridge: Bridge) -> None:
+        self.loop, self.bridge = loop, bridge
+        self.closing = False  # every further reply closes its connection
+        self.emptied: asyncio.Event = asyncio.Event()
+        self._limit, self._units_top, self._gateways = limit, units_top, settings.gateways
+        self._classes = {c.name.encode(): c for c in settings.classes}
+        self._clients: dict[Client, None] = {}
+        self._able = False
+
+    def able(self) -> None:
+        """There are workers to serve with."""
+        self._able = True
+
+    def ready(self) -> bool:
+        """Whether clients may be sent here."""
+        return self._able and not self.closing
+
+    def joined(self, client: Client) -> None:
+        """A connection has come up; beyond the bound one that is idle makes room, or this one is refused."""
+        self._clients[client] = None
+        if len(self._clients) > self._limit:
+            idle = [other for other in self._clients if other is not client and other.idle()]
+            if idle:
+                min(idle, key=lambda other: other.since).close()
+            else:
+                client.overflow = True
+
+    def left(self, client: Client) -> None:
+        """A connection is gone."""
+        self._clients.pop(client, None)
+        if self.closing and not self._clients:
+            self.emptied.set()
+
+    def sweep(self) -> None:
+        """Look after idle and slow clients."""
+        now = self.loop.time()
+        for client in list(self._clients):
+            client.sweep(now)
+
+    async def finish(self, patience: float) -> None:
+        """Answer what is held, each reply with `Connection: close`, and wait until all clients have gone."""
+        self.closing = True
+        for client in list(self._clients):
+            if client.idle():
+                client.close()
+        if self._clients:
+            try:
+                await asyncio.wait_for(self.emptied.wait(), patience)
+            except TimeoutError:
+                log.warning("%d connections left open at the end", len(self._clients))
+
+    def read(self, incoming: Incoming, path: bytes, query: bytes,
+             now: float) -> tuple[i.Request, bytes, float]:
+        """The module's event, the head for a worker and the deadline, or what is wrong with a request."""
+        first = path[1:].partition(b"/")[0]
+        fields = incoming.fields
+        named = fields.get(b"x-priority-class")
+        klass = self._classes.get(first)
+        if named is None or named != first:
+            # The class stands in both places; a path that begins with no class is none of this service's.
+            raise BadRequest(404, "path") if klass is None else BadRequest(400, "X-Priority-Class")
+        if klass is not None and incoming.method != (b"GET" if klass.effect == i.PURE else b"POST"):
+            raise BadRequest(405, "method")
+        if incoming.twice:
+            raise BadRequest(400, incoming.twice.decode("latin-1"))
+        name, timeout = fields.get(b"x-request-id", b""), fields.get(b"x-timeout", b"")
+        if not NAME.fullmatch(name):
+            raise BadRequest(400, "X-Request-ID")
+        if not DECIMAL.fullmatch(timeout) or float(timeout) > LONGEST:
+            raise BadRequest(400, "X-Timeout")
+        plan = fields.get(b"x-tariff", b"")
+        if not NAME.fullmatch(plan) or not NAME.fullmatch(named):
+            raise BadRequest(400, "X-Tariff" if NAME.fullmatch(named) else "X-Priority-Class")
+        customers = [part[9:] for part in query.split(b"&") if part.startswith(b"customer=")]
+        if len(customers) != 1 or not CUSTOMER.fullmatch(customers[0]) or int(customers[0], 16) >= 2 ** 33:
+            raise BadRequest(400, "customer")
+        units, spread = self._weight(fields.get(b"x-weight", b""))
+        wait = min(float(timeout), klass.deadline) if klass is not None else float(timeout)
+        deadline = incoming.seen + wait
+        request = name.decode()
+        if self.bridge.holds(request):
+            raise BadRequest(400, "X-Request-ID is in use")
+        event = i.Request(
+            request=request, klass=named.decode(), plan=plan.decode(), customer=customers[0].decode().lower(),
+            time_left=max(0.0, deadline - now), units=units, spread=spread,
+            repeat=fields.get(b"x-retried") == b"1")
+        target = path + b"?" + query
+        length = b"Content-Length: %d\r\n" % sum(map(len, incoming.body)) if incoming.method == b"POST" \
+            or incoming.body else b""
+        head = b"%b %b HTTP/1.1\r\n%b%b" % (incoming.method, target, b"".join(incoming.lines), length)
+        return event, head, deadline
+
+    def _weight(self, text: bytes) -> tuple[float, int]:
+        """Units and spread of X-Weight."""
+        parts = dict(part.strip().partition(b"=")[::2] for part in text.split(b","))
+        units, spread, first = (parts.get(key, b"") for key in (b"units", b"spread", b"first"))
+        if not all(DECIMAL.fullmatch(part) for part in (units, spread, first)):
+            raise BadRequest(400, "X-Weight")
+        if b"." in spread + first or not 0 < float(units) <= self._units_top \
+                or not 1 <= int(spread) <= self._gateways or int(first) >= self._gateways:
+            raise BadRequest(400, "X-Weight")
+        return float(units), int(spread)
--- /dev/null
+++ b/oliveloft/workers.py
@@ -0,0 +1,403 @@
+"""Worker connections: a pool for each worker process, and the attempts that go over them.
+
+An attempt ends exactly once, by `Attempt.finish`, whatever happens to its connection.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import cast
+
+import httptools
+
+from micagate import interface as i
+
+log = logging.getLogger("oliveloft")
+
+MAX_BODY = 64 * 1024
+MAX_HEAD = 16 * 1024
+IDLE_SHARE = 0.6  # of the worker's idle time-out: later, a request could cross the worker's closing
+HOP_BY_HOP = frozenset((
+    b"connection", b"keep-alive", b"proxy-connection", b"proxy-authenticate", b"proxy-authorization", b"te",
+    b"trailer", b"transfer-encoding", b"upgrade", b"content-length"))
+
+
+class Oversize(Exception):
+    """A message beyond the limits."""
+
+
+@dataclass(frozen=True, slots=True)
+class Endpoint:
+    """A line of discovery's list: the module's entry and where the worker listens."""
+
+    entry: i.WorkerEntry
+    address: tuple[str, int]
+
+
+class Answer:
+    """A worker's whole answer."""
+
+    __slots__ = ("status", "headers", "body", "used", "not_processed")
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.headers: list[bytes] = []  # end-to-end header lines, ready to go out
+        self.body = b""
+        self.used: float | None = None
+        self.not_processed = False
+
+
+class Attempt:
+    """One try at a worker: written at most once, finished exactly once."""
+
+    __slots__ = ("request", "number", "worker", "head", "body", "deadline", "began", "report", "done",
+                 "connection", "timer")
+
+    def __init__(self, request: str, number: int, worker: str, head: bytes, body: bytes, deadline: float,
+                 began: float, report: Callable[[Attempt, str, Answer | None], None]) -> None:
+        self.request, self.number, self.worker = request, number, worker
+        self.head, self.body, self.deadline, self.began = head, body, deadline, began
+        self.report = report
+        self.done = False
+        self.connection: Connection | None = None
+        self.timer: asyncio.TimerHandle | None = None
+
+    def finish(self, status: str, answer: Answer | None = None) -> None:
+        """End the attempt and report; a second end is none."""
+        if self.done:
+            return
+        self.done = True
+        self.connection = None
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        self.report(self, status, answer)
+
+    def give_up(self, status: str) -> None:
+        """Stop waiting: the worker learns of it by the close of its connection."""
+        if self.done:
+            return
+        connection = self.connection
+        if connection is not None:
+            connection.attempt = None
+            connection.close()
+        self.finish(status)
+
+    def message(self, now: float) -> bytes:
+        """The request as it goes to the worker, with what is left of its time."""
+        return b"%bX-Timeout: %.3f\r\n\r\n%b" % (self.head, max(0.001, self.deadline - now), self.body)
+
+
+class Process:
+    """A worker process as discovery last told of it, with its idle connections, the latest used last."""
+
+    __slots__ = ("name", "address", "started", "idle", "told")
+
+    def __init__(self, name: str, address: tuple[str, int], started: float | None) -> None:
+        self.name, self.address, self.started = name, address, started
+        self.idle: list[Connection] = []
+        self.told: float | None = None  # when it was told to drain or be gone
+
+    def retire(self, now: float) -> None:
+        """It drains or is gone: nothing new goes to it, and its idle connections are of no more use."""
+        if self.told is None:
+            self.told = now
+        for connection in self.idle:
+            connection.close()
+        self.idle.clear()
+
+
+class Connection(asyncio.Protocol):
+    """One connection to a worker; it carries one attempt at a time."""
+
+    __slots__ = ("_pool", "process", "attempt", "transport", "task", "idle_since", "_parser", "_answer",
+                 "_body", "_size", "_written", "_heard", "_headed", "_framed", "_complete", "_reusable",
+                 "_closed")
+
+    def __init__(self, pool: Workers, process: Process, attempt: Attempt) -> None:
+        self._pool, self.process = pool, process
+        self.attempt: Attempt | None = attempt
+        self.transport: asyncio.Transport | None = None
+        self.task: asyncio.Task[None] | None = None
+        self.idle_since = 0.0
+        self._parser = httptools.HttpResponseParser(self)
+        self._closed = False
+        self._reset()
+
+    def _reset(self) -> None:
+        self._answer = Answer()
+        self._body: list[bytes] = []
+        self._size = 0
+        self._written = self._headed = self._framed = self._complete = False
+        self._reusable = True
+
+    # The transport's side.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """It stands: the attempt that asked for it goes out, if the worker is still wanted."""
+        self.transport = cast(asyncio.Transport, transport)
+        # A limit of 0 makes the transport tell by pause and resume when the last byte has left.
+        self.transport.set_write_buffer_limits(high=0)
+        attempt = self.attempt
+        if attempt is None or self._closed:
+            self.transport.abort()
+        elif self.process.told is not None:
+            # Guards the drain rule: told while this connection came up, so nothing was written.
+            self.attempt = None
+            self.close()
+            attempt.finish(i.UNREACHABLE)
+        else:
+            self.send(attempt)
+
+    def send(self, attempt: Attempt) -> None:
+        """Write an attempt's request, in one piece."""
+        self.attempt = attempt
+        attempt.connection = self
+        transport = cast(asyncio.Transport, self.transport)
+        transport.write(attempt.message(self._pool.loop.time()))
+        self._written = not transport.is_closing() and transport.get_write_buffer_size() == 0
+
+    def resume_writing(self) -> None:
+        """The last byte has left."""
+        self._written = True
+
+    def data_received(self, data: bytes) -> None:
+        """A piece of an answer, or something that nobody asked for."""
+        if self.attempt is None:
+            self.close()  # Guards against stray bytes that would be taken for the next request's answer.
+            return
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._reusable = False
+            if not self._complete:
+                self._end(i.BROKEN)
+                return
+        if self._complete:
+            self._finish()
+
+    def eof_received(self) -> bool:
+        """The worker has ended its sending: an answer framed by that is whole, any other is cut."""
+        if self.attempt is not None and self._headed and not self._framed and not self._complete:
+            self._reusable = False
+            self.on_message_complete()
+            self._finish()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """The connection is gone; what was out on it may have run once its last byte had left."""
+        self.transport = None
+        self._end(i.BROKEN if self._written else i.UNREACHABLE)
+        self._pool.lost(self)
+
+    # The parser's side.
+
+    def on_message_begin(self) -> None:
+        """A new answer begins; a second one to the same request is stray."""
+        if self._complete:
+            self._reusable = False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Keep a header; trailers count to the size and are left."""
+        self._size += len(name) + len(value)
+        if self._size > MAX_HEAD + self._pool.max_body:
+            raise Oversize
+        if self._headed:
+            return
+        lower = name.lower()
+        if lower == b"x-not-processed":
+            self._answer.not_processed = value.strip() == b"1"
+        elif lower == b"x-allowance-used":
+            try:
+                used = float(value) / 100
+            except ValueError:
+                return
+            if 0 <= used < 1e6:
+                self._answer.used = used
+        elif lower in HOP_BY_HOP:
+            if lower == b"content-length" or lower == b"transfer-encoding":
+                self._framed = True
+        elif lower != b"x-server-load":
+            self._answer.headers.append(b"%b: %b\r\n" % (name, value))
+
+    def on_headers_complete(self) -> None:
+        """The head is whole."""
+        self._headed = True
+        self._answer.status = self._parser.get_status_code()
+
+    def on_body(self, data: bytes) -> None:
+        """A piece of the body."""
+        self._size += len(data)
+        if self._size > MAX_HEAD + self._pool.max_body:
+            raise Oversize
+        self._body.append(data)
+
+    def on_message_complete(self) -> None:
+        """The answer is whole, unless it only announces another."""
+        if self._complete:
+            return
+        if 100 <= self._answer.status < 200:
+            self._answer = Answer()
+            self._headed = self._framed = False
+            return
+        self._complete = True
+        self._answer.body = b"".join(self._body)
+        self._reusable = self._reusable and self._parser.should_keep_alive()
+
+    # Ends.
+
+    def _finish(self) -> None:
+        """A whole answer has come: free the connection first, then report."""
+        attempt, answer = self.attempt, self._answer
+        reusable = self._reusable and self._written and not self._closed
+        self.attempt = None
+        if reusable:
+            self._reset()
+            self._pool.keep(self)
+        else:
+            self.close()
+        if attempt is None:
+            return
+        if answer.status == 200:
+            attempt.finish(i.SUCCESS, answer)
+        elif answer.status in (503, 504) and answer.not_processed:
+            attempt.finish(i.FULL, answer)
+        else:
+            attempt.finish(i.FAILURE, answer)
+
+    def _end(self, status: str) -> None:
+        attempt, self.attempt = self.attempt, None
+        self.close()
+        if attempt is not None:
+            attempt.finish(status)
+
+    def close(self) -> None:
+        """Close at once; what the kernel has not taken yet is dropped."""
+        if self._closed:
+            return
+        self._closed = True
+        if self.transport is not None:
+            self.transport.abort()
+        elif self.task is not None:
+            # Guards against a leak: a task cancelled before its first step runs none of its clean-up.
+            self.task.cancel()
+            self._pool.lost(self)
+
+    def connect_expired(self) -> None:
+        """It did not come up in time; nothing was written."""
+        if self.transport is None:
+            self._end(i.UNREACHABLE)
+
+
+class Workers:
+    """All workers on the list, and the bound on connections to them."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, limit: int, connect_timeout: float,
+                 idle_close: float, drain_grace: float, max_body: int = MAX_BODY) -> None:
+        self.loop, self.max_body = loop, max_body
+        self._limit, self._connect_timeout, self._grace = limit, connect_timeout, drain_grace
+        self._idle_limit = IDLE_SHARE * idle_close
+        self._processes: dict[str, Process] = {}
+        self._open: set[Connection] = set()
+
+    def update(self, endpoints: Iterable[Endpoint], whole: bool) -> None:
+        """Follow the list: what drains or is gone is retired, a new address or start is a new process."""
+        now = self.loop.time()
+        named = set()
+        for endpoint in endpoints:
+            entry = endpoint.entry
+            named.add(entry.worker)
+            process = self._processes.get(entry.worker)
+            if entry.state == i.GONE:
+                if process is not None:
+                    process.retire(now)
+                    del self._processes[entry.worker]
+                continue
+            if process is None or process.address != endpoint.address or process.started != entry.started:
+                if process is not None:
+                    process.retire(now)
+                process = self._processes[entry.worker] = Process(
+                    entry.worker, endpoint.address, entry.started)
+            if entry.state == i.HEALTHY:
+                process.told = None
+            else:
+                process.retire(now)
+        if whole:
+            for name in [name for name in self._processes if name not in named]:
+                self._processes.pop(name).retire(now)
+
+    def __len__(self) -> int:
+        return len(self._processes)
+
+    def send(self, attempt: Attempt) -> None:
+        """Start an attempt: over the connection used last, or a new one."""
+        process = self._processes.get(attempt.worker)
+        now = self.loop.time()
+        if process is None or (process.told is not None and now - process.told >= self._grace):
+            attempt.finish(i.VOID)
+            return
+        while process.idle:
+            connection = process.idle.pop()
+            transport = connection.transport
+            if transport is None or transport.is_closing():
+                continue
+            if now - connection.idle_since >= self._idle_limit:
+                connection.close()  # and so are those below it, which have stood for longer
+                continue
+            connection.send(attempt)
+            return
+        if len(self._open) >= self._limit and not self._make_room():
+            # Guards against running out of descriptors: it was never sent, and another may find room.
+            attempt.finish(i.UNREACHABLE)
+            return
+        connection = Connection(self, process, attempt)
+        attempt.connection = connection
+        self._open.add(connection)
+        connection.task = self.loop.create_task(self._connect(connection))
+
+    async def _connect(self, connection: Connection) -> None:
+        host, port = connection.process.address
+        timer = self.loop.call_later(self._connect_timeout, connection.connect_expired)
+        try:
+            await self.loop.create_connection(lambda: connection, host, port)
+        except OSError as error:
+            connection.connection_lost(error)
+        finally:
+            timer.cancel()
+            connection.task = None
+
+    def _make_room(self) -> bool:
+        """Close the connection that has been idle the longest; whether there was one."""
+        oldest: Connection | None = None
+        for process in self._processes.values():
+            if process.idle and (oldest is None or process.idle[0].idle_since < oldest.idle_since):
+                oldest = process.idle[0]
+        if oldest is None:
+            return False
+        oldest.process.idle.remove(oldest)
+        oldest.close()
+        return True
+
+    def keep(self, connection: Connection) -> None:
+        """A connection has become idle."""
+        if connection.process.told is not None:
+            connection.close()
+            return
+        connection.idle_since = self.loop.time()
+        connection.process.idle.append(connection)
+
+    def lost(self, connection: Connection) -> None:
+        """A connection is gone."""
+        self._open.discard(connection)
+        if connection in connection.process.idle:
+            connection.process.idle.remove(connection)
+
+    def sweep(self) -> None:
+        """Close what has been idle for long, well before the worker would."""
+        limit = self.loop.time() - self._idle_limit
+        for process in self._processes.values():
+            while process.idle and process.idle[0].idle_since <= limit:
+                process.idle.pop(0).close()
