--- a/tests/stand.py
+++ b/tests/stand.py
@@ -19,7 +19,7 @@
 from pathlib import Path
 from typing import Any
 
-LIMIT = 30.0
+LIMIT = 20.0
 FACTS: dict[str, Any] = {
     "Caps": {"Cancel": True, "MaxAttempts": 3, "MaxRetryAfterUs": 500000, "RetryAfter": True,
              "SecondCopies": False, "ConnectTimeoutUs": 250000, "IdleCloseUs": 15000000},
--- /dev/null
+++ b/tests/test_bridge.py
@@ -0,0 +1,266 @@
+"""The bridge with a scripted module: attempts end once, requests end in time, faults stay small."""
+
+import asyncio
+from collections.abc import Callable
+
+import pytest
+from stand import Worker, answer, hang, run, until
+
+from micagate import interface as i
+from oliveloft.discovery import News
+from oliveloft.gateway import Bridge, Request
+from oliveloft.workers import Connection, Workers
+
+SETTINGS = i.Settings((i.RequestClass("write", 1.0, 4.0, i.SIDE_EFFECT),), (i.Plan("free"),), max_attempts=2)
+
+
+class Module:
+    """In the module's place: `rules` says what each event calls for; the events are kept."""
+
+    def __init__(self, rules: Callable[[i.Event], list[i.Action]]) -> None:
+        self.rules, self.events = rules, []
+
+    def handle(self, now: float, event: i.Event) -> list[i.Action]:
+        """Keep, then do as told."""
+        self.events.append(event)
+        return self.rules(event)
+
+    def outcomes(self) -> list[tuple[int, str, bool]]:
+        """Number, status and terminal of each attempt that has ended."""
+        return [(e.attempt, e.status, e.terminal) for e in self.events if isinstance(e, i.Outcome)]
+
+
+class Case:
+    """A bridge over a module and real worker connections."""
+
+    def __init__(self, rules: Callable[[i.Event], list[i.Action]], **settings: object) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.module = Module(rules)
+        self.workers = Workers(self.loop, 10, 0.25, 15.0, 0.5)
+        made = {name: getattr(SETTINGS, name) for name in SETTINGS.__slots__}
+        self.bridge = Bridge(self.loop, i.Settings(**{**made, **settings}), self.module, self.workers)
+        self.replies: list[int] = []
+
+    def know(self, *workers: Worker, **changes: object) -> None:
+        """Tell of workers."""
+        self.bridge.news(News({"index": 1, "snapshot": True,
+                               "endpoints": [w.entry(**changes) for w in workers]}, 0.0))
+
+    def submit(self, name: str = "r", left: float = 3.0) -> Request:
+        """Hand in a request."""
+        event = i.Request(name, "write", "free", "c", left)
+        head = b"POST / HTTP/1.1\r\nX-Request-ID: r\r\nContent-Length: 0\r\n"
+        return self.bridge.submit(event, head, b"", self.loop.time() + left,
+                                  lambda status, headers, body: self.replies.append(status))
+
+
+def on(kind: type, *actions: i.Action) -> Callable[[i.Event], list[i.Action]]:
+    """Rules that answer one kind of event, and no other."""
+    return lambda event: list(actions) if isinstance(event, kind) else []
+
+
+def test_a_success_answers_and_is_terminal_and_all_is_forgotten():
+    async def scenario():
+        case = Case(on(i.Request, i.Send("r", "w")))
+        case.know(await Worker("w").start())
+        request = case.submit()
+        await until(lambda: case.module.outcomes())
+        assert case.replies == [200] and case.module.outcomes() == [(0, i.SUCCESS, True)]
+        assert not case.bridge.holds("r") and request.timer is None
+    run(scenario())
+
+
+@pytest.mark.parametrize(("sends", "changes", "expected"), [
+    (["nobody"], {}, [(0, i.VOID, False)]),
+    (["w", "w"], {}, [(1, i.VOID, False)]),  # never two at once
+    (["nobody"] * 3, {}, [(0, i.VOID, False), (1, i.VOID, False), (2, i.VOID, False)]),
+])
+def test_what_may_not_be_sent_is_void_and_nothing_is_written(sends, changes, expected):
+    async def scenario():
+        worker = await Worker("w", hang).start()
+        case = Case(on(i.Request, *(i.Send("r", name) for name in sends)), **changes)
+        case.know(worker)
+        case.submit()
+        assert case.module.outcomes() == expected and case.replies == []
+        await until(lambda: len(worker.seen) == ("w" in sends))
+    run(scenario())
+
+
+def test_attempts_beyond_the_most_are_void():
+    async def scenario():
+        worker = await Worker("w", hang).start()
+        case = Case(on(i.Request, *(i.Send("r", "w"),) * 3), second_copies=True)
+        case.know(worker)
+        case.submit()
+        assert case.module.outcomes() == [(2, i.VOID, False)]
+        await until(lambda: len(worker.seen) == 2)
+    run(scenario())
+
+
+def test_a_time_out_closes_the_workers_connection_and_is_not_terminal():
+    async def scenario():
+        worker = await Worker("w", hang).start()
+        case = Case(on(i.Request, i.Send("r", "w", 0.1)))
+        case.know(worker)
+        case.submit()
+        await until(lambda: worker.closed)
+        assert case.module.outcomes() == [(0, i.TIMED_OUT, False)] and case.replies == []
+    run(scenario())
+
+
+def test_a_cancel_closes_the_workers_connection_and_a_late_one_does_nothing():
+    async def scenario():
+        worker = await Worker("w", hang).start()
+        case = Case(on(i.Request, i.Send("r", "w")))
+        case.know(worker)
+        case.submit()
+        await until(lambda: worker.seen)
+        case.module.rules = on(i.TimerFired, i.Cancel("r", 0), i.Cancel("r", 0), i.Cancel("r", 7))
+        case.bridge._fired(1, "r")
+        await until(lambda: worker.closed)
+        assert case.module.outcomes() == [(0, i.CANCELLED, False)]
+    run(scenario())
+
+
+def test_the_module_may_fail_a_request_and_its_attempt_still_reports_with_no_second_reply():
+    async def scenario():
+        go = asyncio.Event()
+
+        async def late(request, writer):
+            await go.wait()
+            await answer()(request, writer)
+
+        worker = await Worker("w", late).start()
+        case = Case(on(i.Request, i.Send("r", "w")))
+        case.know(worker)
+        case.submit()
+        await until(lambda: worker.seen)
+        case.module.rules = on(i.TimerFired, i.Fail("r"), i.Refuse("r", 0.1), i.Send("r", "w"))
+        case.bridge._fired(1, "r")
+        assert case.replies == [502] and case.module.outcomes() == [(1, i.VOID, True)]
+        go.set()
+        await until(lambda: len(case.module.outcomes()) == 2)
+        assert case.module.outcomes()[1] == (0, i.SUCCESS, True) and case.replies == [502]
+        assert len(worker.seen) == 1 and not case.bridge.holds("r")
+    run(scenario())
+
+
+def test_a_request_that_the_module_forgets_is_answered_at_its_deadline():
+    async def scenario():
+        case = Case(lambda event: [])
+        case.submit(left=0.1)
+        await until(lambda: case.replies)
+        assert case.replies == [504] and isinstance(case.module.events[-1], i.Abandoned)
+        assert not case.bridge.holds("r")
+    run(scenario())
+
+
+@pytest.mark.parametrize("kind", [i.Request, i.Outcome, i.TimerFired])
+def test_a_fault_in_the_module_fails_that_request_and_no_other(kind, caplog):
+    async def scenario():
+        def rules(event):
+            name = getattr(event, "request", "r")
+            if isinstance(event, kind) and name == "r":
+                raise RuntimeError("odd")
+            return [i.Send(name, "w"), i.SetTimer(0.05, 1)] if isinstance(event, i.Request) else []
+
+        case = Case(rules)
+        case.know(await Worker("w", hang if kind is i.TimerFired else None).start())
+        case.submit()
+        await until(lambda: case.replies)
+        assert case.replies == [200 if kind is i.Outcome else 500] and "odd" in caplog.text
+        case.module.rules = on(i.Request, i.Refuse("s"))
+        case.submit("s")
+        assert case.replies[1:] == [503]
+    run(scenario())
+
+
+def test_a_client_that_leaves_is_told_once_and_gets_nothing():
+    async def scenario():
+        worker = await Worker("w", hang).start()
+        case = Case(on(i.Request, i.Send("r", "w")))
+        case.know(worker)
+        request = case.submit(left=0.3)
+        await until(lambda: worker.seen)
+        case.bridge.abandon(request)
+        case.bridge.abandon(request)
+        assert case.module.events.count(i.Abandoned("r")) == 1
+        await until(lambda: case.module.outcomes())
+        assert case.module.outcomes() == [(0, i.TIMED_OUT, True)] and case.replies == []
+    run(scenario())
+
+
+def test_an_attempt_waiting_for_its_connection_is_not_written_once_its_worker_drains():
+    async def scenario():
+        worker = await Worker("w").start()
+        case = Case(on(i.Request, i.Send("r", "w")))
+        case.know(worker)
+        case.submit()  # the connection is on its way
+        case.know(worker, status="draining")
+        await until(lambda: case.module.outcomes())
+        assert case.module.outcomes() == [(0, i.UNREACHABLE, False)]
+        await until(lambda: worker.closed == worker.connections)
+        assert not worker.seen
+    run(scenario())
+
+
+class Transport(asyncio.Transport):
+    """A transport whose kernel takes only a part."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.left, self.aborted = 0, False
+
+    def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
+        """Nothing to set."""
+
+    def write(self, data: bytes) -> None:
+        """Hold all of it back."""
+        self.left = len(data)
+
+    def get_write_buffer_size(self) -> int:
+        """What has not left."""
+        return self.left
+
+    def is_closing(self) -> bool:
+        """Whether it was aborted."""
+        return self.aborted
+
+    def abort(self) -> None:
+        """Close."""
+        self.aborted = True
+
+
+@pytest.mark.parametrize(("left", "status"), [(False, i.UNREACHABLE), (True, i.BROKEN)])
+def test_a_break_before_the_last_byte_left_proves_that_nothing_ran(left, status):
+    async def scenario():
+        case = Case(on(i.Request, i.Send("r", "w")))
+        worker = Worker("w")
+        worker.port = 9  # never connected to
+        case.know(worker)
+        made: list[Connection] = []
+
+        async def connect(connection):
+            made.append(connection)
+        case.workers._connect = connect
+        case.submit()
+        await until(lambda: made)
+        made[0].connection_made(Transport())
+        if left:
+            made[0].resume_writing()
+        made[0].connection_lost(ConnectionResetError())
+        assert case.module.outcomes() == [(0, status, False)]
+        assert not case.workers._open
+    run(scenario())
+
+
+def test_an_attempt_given_up_before_its_connection_task_began_leaves_nothing():
+    async def scenario():
+        worker = await Worker("w").start()
+        case = Case(on(i.Request, i.Send("r", "w"), i.Cancel("r", 0)))
+        case.know(worker)
+        case.submit()
+        assert case.module.outcomes() == [(0, i.CANCELLED, False)] and not case.workers._open
+        await asyncio.sleep(0)
+        assert not case.workers._open
+    run(scenario())
--- /dev/null
+++ b/tests/test_discovery.py
@@ -0,0 +1,114 @@
+"""The watch: where it starts, what it skips, and what it does when discovery fails."""
+
+import asyncio
+
+from stand import Discovery, Worker, config, launch, run, scene, until
+
+from oliveloft import discovery as module
+from oliveloft.discovery import News
+
+
+def test_it_starts_from_what_it_knew_while_discovery_is_down():
+    async def scenario():
+        worker = await Worker("w").start()
+        discovery = Discovery([worker.entry()])
+        await discovery.start()
+        discovery.stop()
+        gatekeeper = await launch(config(discovery.port, known=[worker.entry()]))
+        try:
+            assert await gatekeeper.health() == 200
+            assert (await (await gatekeeper.client()).ask("write")).status == 200
+            await gatekeeper.logged("keeping the list")
+            other = await Worker("v").start()
+            discovery.entries = [other.entry()]  # the whole list: w is gone
+            await discovery.start()
+            await until(lambda: worker.closed == 1)
+            assert (await (await gatekeeper.client()).ask("write")).status == 200 and len(other.seen) == 1
+        finally:
+            gatekeeper.process.kill()
+            await gatekeeper.process.wait()
+    run(scenario())
+
+
+def test_watches_follow_one_another_and_name_the_last_version():
+    async def scenario():
+        worker = Worker("w")
+        async with scene(worker) as (_, discovery, client):
+            for n in range(3):
+                discovery.change(worker.entry(weight=1.0 + n))
+                await discovery.watched()
+            assert discovery.asked[0] == "/v1/servers"
+            assert [path.partition("&")[0] for path in discovery.asked[1:]] == [
+                f"/v1/servers?index={n}" for n in range(1, 5)]
+            assert (await client.ask("write")).status == 200
+    run(scenario())
+
+
+def test_malformed_entries_are_skipped_with_a_line_and_the_rest_is_taken():
+    async def scenario():
+        worker, other = Worker("w"), Worker("v")
+        await other.start()
+        async with scene(worker) as (gatekeeper, discovery, client):
+            bad = [3, {}, {"name": "x"}, other.entry(address="nowhere"), other.entry(status="odd"),
+                   other.entry(weight="heavy"), other.entry(since_ms=-1), other.entry(name=5),
+                   other.entry(zone=None), other.entry(weight=float("nan"))]
+            discovery.change(*bad, {"name": "w", "status": "removed", "novel": 1}, other.entry(novel=[1]))
+            await discovery.watched()
+            assert (await client.ask("write")).status == 200
+            assert len(other.seen) == 1 and not worker.seen
+            await gatekeeper.logged("skipped a malformed entry")
+            assert sum("malformed" in line for line in gatekeeper.log) == 1
+    run(scenario())
+
+
+def test_a_failing_answer_keeps_the_list_and_is_asked_again():
+    async def scenario():
+        worker = Worker("w")
+        async with scene(worker) as (gatekeeper, discovery, client):
+            for raw in (b"HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n", b"no HTTP\r\n\r\n",
+                        b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n{",
+                        b'HTTP/1.1 200 OK\r\nContent-Length: 17\r\n\r\n{"endpoints": []}'):
+                asked, discovery.raw = len(discovery.asked), raw
+                discovery.change()
+                await until(lambda: len(discovery.asked) > asked + 1)  # noqa: B023
+                assert discovery.asked[-1] == "/v1/servers"
+                discovery.raw = None
+                await discovery.watched()
+                assert (await client.ask("write")).status == 200
+    run(scenario())
+
+
+def test_an_answer_that_closes_its_connection_is_followed_by_the_next_watch():
+    async def scenario():
+        worker = Worker("w")
+        async with scene(worker) as (gatekeeper, discovery, client):
+            body = b'{"index": 9, "snapshot": false, "endpoints": []}'
+            head = b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: %d\r\n\r\n"
+            discovery.raw = head % len(body) + body
+            discovery.change()
+            await until(lambda: "index=9&" in discovery.asked[-1])
+            assert (await client.ask("write")).status == 200
+            assert not any("discovery" in line for line in gatekeeper.log)
+    run(scenario())
+
+
+def test_a_silent_agent_is_left_and_an_open_wait_is_not(monkeypatch):
+    monkeypatch.setattr(module, "WAIT", 0.05)
+    monkeypatch.setattr(module, "SILENCE", 0.2)
+    told: list[News] = []
+
+    async def scenario():
+        agent = await Discovery([{"name": "w", "address": "h:1", "status": "up", "since_ms": 5000}]).start()
+        watch = module.Discovery(asyncio.get_running_loop(), ("127.0.0.1", agent.port), 2.0, told.append)
+        watch.start()
+        await until(lambda: len(agent.asked) > 4)  # waits that ended with no change
+        assert agent.asked.count("/v1/servers") == 1 and told[0].whole and not told[1].whole
+        assert told[0].endpoints[0].entry.started == 3.0  # on the loop's clock
+        agent.silent = True
+        await until(lambda: agent.asked.count("/v1/servers") == 3)  # left twice, with no list lost
+        agent.silent, heard = False, len(told)
+        await until(lambda: len(told) > heard)
+        assert told[heard].whole
+        watch.stop()
+        agent.stop()
+    run(scenario())
