Bound what waits for one client; keep descriptors within what was granted

Observation: a client that pipelines 1,500 requests of 64 KiB made the process grow by 100 MB (the new test, with the bound taken out, reads 126 MB); 192 MB is the limit. A reading of the code found two more: connections beyond the bound were all kept, up to the system's limit and not the one granted, and an agent that closes after an answer could have its end taken for the next connection's. Cause: server.Client.on_message_complete counted requests, not bytes; Server.joined had no upper end; Discovery._take connected anew before connection_lost of the old connection. Change: reading stops at 64 KiB of waiting bodies; connections beyond bound and spare are closed; the process lowers its own limit to what was granted; discovery connects once the old end has come. After SIGTERM /healthz says 503 at once, while requests are still served. Conclusion: limits hold in tests that fail without these lines.

--- a/oliveloft/__main__.py
+++ b/oliveloft/__main__.py
@@ -6,6 +6,7 @@
 import gc
 import logging
 import os
+import resource
 import signal
 import sys
 import time
@@ -73,6 +74,7 @@
     loop.call_later(pause, sweep)
     await stop.wait()
     log.info("stopping")
+    server.retire()
     await asyncio.sleep(STILL_COMING)
     listener.close()
     await server.finish(max(c.deadline for c in config.settings.classes) + 0.2)
@@ -84,7 +86,10 @@
     """Read the configuration and serve."""
     logging.basicConfig(level=logging.INFO, format="%(levelname)s %(message)s", stream=sys.stderr)
     try:
-        return uvloop.run(serve(load(os.environ)))
+        config = load(os.environ)
+        _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (config.sockets, hard))  # never more than was granted
+        return uvloop.run(serve(config))
     except ConfigError as error:
         print(f"oliveloft: {error}", file=sys.stderr)
         return 2
--- a/oliveloft/discovery.py
+++ b/oliveloft/discovery.py
@@ -183,13 +183,17 @@
             self._ask()  # first: the next watch must begin soon after the last answer
         else:
             self._answered = True
-            transport, self._transport = self._transport, None
-            cast(asyncio.Transport, transport).close()
-            self.start()
+            cast(asyncio.Transport, self._transport).close()
         self._tell(news)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """The agent has closed, or died."""
-        if self._transport is not None:
-            self._transport = None
+        if self._transport is None:
+            return
+        self._transport = None
+        if self._answered and not self._stopped:
+            # Announced with the last answer, so no failure; not before, or this end could be taken for the
+            # next connection's.
+            self.start()
+        else:
             self._failed(f"connection lost: {exc or 'closed'}")
--- a/oliveloft/server.py
+++ b/oliveloft/server.py
@@ -19,7 +19,9 @@
 IDLE = 75.0  # seconds after which an idle client connection is closed
 SLOW = 10.0  # seconds that a client may take over sending a request, or over reading a reply
 LINGER = 1.0  # seconds in which the rest of a turned-down request is read off, so that the reply arrives
-PIPELINE = 16  # requests held of one connection before it is read no further
+PIPELINE = 16  # requests held of one connection before it is read no further, or bytes of their bodies
+PIPELINE_BYTES = MAX_BODY
+SPARE = 24  # connections beyond the bound that still hear a refusal
 MOST_WEIGHTS = 256  # forms of X-Weight kept as read
 LONGEST = 86400.0  # seconds: a longer X-Timeout is absurd
 
@@ -64,7 +66,7 @@
     """One client connection: requests are served one after another, replies go out in their order."""
 
     __slots__ = ("_server", "_transport", "_parser", "_incoming", "_headed", "_queue", "_current", "_keep",
-                 "_busy", "_paused", "_stopped", "_ended", "lingering", "since", "overflow")
+                 "_waiting", "_busy", "_paused", "_stopped", "_ended", "lingering", "since", "overflow")
 
     def __init__(self, server: Server) -> None:
         self._server = server
@@ -74,6 +76,7 @@
         self._headed = False
         self._queue: deque[Incoming] = deque()
         self._current: Request | None = None
+        self._waiting = 0  # what the queue holds, roughly
         self._busy = False  # a request is being answered
         self._keep = True
         self._paused = False  # the client does not read its replies
@@ -185,9 +188,11 @@
         incoming, self._incoming = cast(Incoming, self._incoming), None
         incoming.keep = self._parser.should_keep_alive()
         self._queue.append(incoming)
-        if len(self._queue) >= PIPELINE and self._transport is not None:
-            self._transport.pause_reading()
         self._next()
+        if self._queue:
+            self._waiting += 1 + incoming.size
+        if (len(self._queue) >= PIPELINE or self._waiting >= PIPELINE_BYTES) and self._transport is not None:
+            self._transport.pause_reading()  # guards the memory: what waits here is bounded
 
     # Serving.
 
@@ -204,7 +209,8 @@
         """Begin the next request, if none is on its way."""
         while self._queue and not (self._busy or self._paused or self._ended) and self._transport is not None:
             incoming = self._queue.popleft()
-            if not self._queue:
+            if not self._queue and self._waiting:
+                self._waiting = 0
                 self._transport.resume_reading()
             self._busy = True
             self._keep = incoming.keep and not self.overflow
@@ -284,6 +290,11 @@
         if self._transport is not None:
             self._transport.close()
 
+    def abort(self) -> None:
+        """Close at once."""
+        if self._transport is not None:
+            self._transport.abort()
+
     def sweep(self, now: float) -> None:
         """Close what has been idle, or slow, for too long."""
         waited = now - self.since
@@ -291,7 +302,7 @@
             return
         if self._paused:
             if waited > SLOW:
-                self._transport.abort()  # guards the memory against a client that does not read
+                self.abort()  # guards the memory against a client that does not read
         elif self.idle():
             if waited > IDLE:
                 self._transport.close()
@@ -310,16 +321,20 @@
         self._limit, self._units_top, self._gateways = limit, units_top, settings.gateways
         self._classes = {c.name.encode(): c for c in settings.classes}
         self._clients: dict[Client, None] = {}
-        self._able = False
+        self._able = self._retired = False
         self._weights: dict[bytes, tuple[float, int]] = {}
 
     def able(self) -> None:
         """There are workers to serve with."""
         self._able = True
 
+    def retire(self) -> None:
+        """Clients should be sent elsewhere; those that come are still served."""
+        self._retired = True
+
     def ready(self) -> bool:
         """Whether clients may be sent here."""
-        return self._able and not self.closing
+        return self._able and not self._retired
 
     def joined(self, client: Client) -> None:
         """A connection has come up; beyond the bound one that is idle makes room, or this one is refused."""
@@ -328,8 +343,10 @@
             idle = [other for other in self._clients if other is not client and other.idle()]
             if idle:
                 min(idle, key=lambda other: other.since).close()
-            else:
+            elif len(self._clients) <= self._limit + SPARE:
                 client.overflow = True
+            else:
+                client.abort()  # guards the descriptors that workers and discovery need
 
     def left(self, client: Client) -> None:
         """A connection is gone."""
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -115,6 +115,21 @@
     run(scenario())
 
 
+def test_what_is_pipelined_is_read_no_faster_than_it_is_served():
+    async def scenario():
+        worker = Worker("w", hang)
+        async with scene(worker) as (gatekeeper, _, client):
+            one = Client.request("write", timeout="3.0", body=b"x" * 65536)
+            client.send(one * 1500)  # far more than socket buffers hold: the rest stays with the client
+            await until(lambda: worker.seen)
+            await asyncio.sleep(0.5)  # time to read it all, were it read
+            with open(f"/proc/{gatekeeper.process.pid}/statm") as file:
+                assert int(file.read().split()[1]) * 4096 < 60_000_000
+            client.writer.transport.abort()
+            assert await gatekeeper.health() == 200
+    run(scenario())
+
+
 def test_a_request_may_come_byte_by_byte():
     async def scenario():
         worker = Worker("w")
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import os
 import resource
 import signal
 
@@ -83,6 +84,7 @@
             worker.script = answer()
             gatekeeper.process.send_signal(signal.SIGTERM)
             await gatekeeper.logged("stopping")
+            assert await gatekeeper.health() == 503
             assert (await (await gatekeeper.client()).ask("write")).status == 200
             assert await idle.ended()
             go.set()
@@ -92,6 +94,22 @@
     run(scenario())
 
 
+def test_it_never_holds_more_descriptors_than_it_was_granted():
+    async def scenario():
+        async with scene(Worker("w"), sockets=100) as (gatekeeper, _, client):
+            assert resource.prlimit(gatekeeper.process.pid, resource.RLIMIT_NOFILE)[0] == 100
+            many = [await gatekeeper.client() for _ in range(120)]
+            for one in many:
+                one.send(Client.request("write", body=b"whole")[:-1])
+            await until(lambda: sum(one.reader.at_eof() for one in many) >= 50)  # beyond bound and spare
+            assert len(os.listdir(f"/proc/{gatekeeper.process.pid}/fd")) <= 100
+            for one in many:
+                one.writer.close()
+            while (await (await gatekeeper.client()).ask("write")).status != 200:
+                pass
+    run(scenario())
+
+
 def test_descriptors_that_run_out_do_not_end_it():
     async def scenario():
         worker = Worker("w")
