--- a/oliveloft/__main__.py
+++ b/oliveloft/__main__.py
@@ -61,6 +61,19 @@
         raise ConfigError(f"listen: {error.strerror or error}") from error
     discovery = Discovery(loop, config.discovery, offset, tell)
     discovery.start()
+
+    def reload() -> None:
+        """Read the file again: discovery may have moved; the rest is read at the start only."""
+        try:
+            again = load(os.environ)
+        except ConfigError as error:
+            log.warning("reload: %s; all stays as it was", error)
+            return
+        log.info("reloaded: discovery at %s:%d", *again.discovery)
+        discovery.move(again.discovery)
+
+    loop.add_signal_handler(signal.SIGHUP, reload)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
     gc.collect()
     gc.freeze()
     log.info("%s listens at %s:%d", config.name, *listener.sockets[0].getsockname()[:2])
@@ -85,6 +98,9 @@
 def main() -> int:
     """Read the configuration and serve."""
     logging.basicConfig(level=logging.INFO, format="%(levelname)s %(message)s", stream=sys.stderr)
+    # Guards against a reload that comes before it can be carried out: it waits, and neither ends the process
+    # nor is forgotten.
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
     try:
         config = load(os.environ)
         _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
--- a/oliveloft/config.py
+++ b/oliveloft/config.py
@@ -84,6 +84,8 @@
         seed = int(str(raw.get("seed", "0")), 16)
     except ValueError as error:
         raise ConfigError(f"seed: {raw['seed']!r} is no hexadecimal number") from error
+    if "counter" in raw:
+        _address(raw, env, "counter", "", 1)  # no call is made to it: the decisions ask for no counts
     return Config(
         name=str(raw.get("name") or env.get("PROXY_NAME") or "oliveloft"),
         listen=_address(raw, env, "listen", "PROXY_LISTEN", 0),
--- a/oliveloft/discovery.py
+++ b/oliveloft/discovery.py
@@ -66,51 +66,125 @@
                 self.skipped = str(error)
 
 
-class Discovery(asyncio.Protocol):
+class Link(asyncio.Protocol):
+    """One connection to an agent, which tells the watch that made it, for as long as it is wanted."""
+
+    def __init__(self, watch: Discovery, where: tuple[str, int]) -> None:
+        self._watch: Discovery | None = watch
+        self._where = where
+        self._transport: asyncio.Transport | None = None
+        self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
+        self._body: list[bytes] = []
+        self._size = 0
+        self._whole = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Ask at once."""
+        self._transport = cast(asyncio.Transport, transport)
+        if self._watch is None:
+            self._transport.abort()
+        else:
+            self._watch.ask()
+
+    def ask(self, path: str) -> None:
+        """Send a call."""
+        self._body, self._size, self._whole = [], 0, False
+        if self._transport is not None:
+            self._transport.write(
+                f"GET {path} HTTP/1.1\r\nHost: {self._where[0]}:{self._where[1]}\r\n\r\n".encode())
+
+    def data_received(self, data: bytes) -> None:
+        """A piece of an answer."""
+        watch, parser = self._watch, self._parser
+        if watch is None or parser is None:
+            return
+        try:
+            parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            watch.failed(f"malformed answer: {error}")
+            return
+        if self._whole:
+            watch.answered(parser.get_status_code(), b"".join(self._body), not parser.should_keep_alive())
+
+    def on_body(self, data: bytes) -> None:
+        """A piece of a list."""
+        self._size += len(data)
+        if self._size > MAX_LIST:
+            raise ValueError("list too long")
+        self._body.append(data)
+
+    def on_message_complete(self) -> None:
+        """An answer is whole."""
+        self._whole = True
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """The agent has closed, or died."""
+        watch, self._watch = self._watch, None
+        self._transport = self._parser = None  # parser and protocol refer to each other
+        if watch is not None:
+            watch.failed(f"connection lost: {exc or 'closed'}")
+
+    def drop(self) -> None:
+        """It is wanted no more: close, and tell nothing of what still comes of it."""
+        self._watch = None
+        if self._transport is not None:
+            self._transport.abort()
+
+
+class Discovery:
     """One watch after another; after any failure a new connection and the whole list."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, where: tuple[str, int], offset: float,
                  tell: Callable[[News], None]) -> None:
         self._loop, self._where, self._offset, self._tell = loop, where, offset, tell
-        self._transport: asyncio.Transport | None = None
+        self._link: Link | None = None
         self._index: int | None = None
         self._pause = BACKOFF
         self._timer: asyncio.TimerHandle | None = None
         self._task: asyncio.Task[None] | None = None
         self._failing = False
-        self._stopped = False
-        self._answered = False  # the connection ended after an answer, as it may: no failure
         self._skipped = ""
 
     def start(self) -> None:
         """Connect."""
-        self._task = self._loop.create_task(self._connect())
+        self._link = Link(self, self._where)
+        self._task = self._loop.create_task(self._connect(self._link))
 
     def stop(self) -> None:
-        """End the watch for good."""
-        self._stopped = True
+        """End the watch for good, or until the next start."""
         for handle in (self._timer, self._task):
             if handle is not None:
                 handle.cancel()
-        if self._transport is not None:
-            self._transport.abort()
+        self._drop()
+
+    def move(self, where: tuple[str, int]) -> None:
+        """Watch another address: its whole list is asked for, and until that comes the old list stands.
+
+        Guards against a return to the old one: its connection, its open call and a retry that was due are
+        dropped, and the index, which means nothing elsewhere.
+        """
+        if where == self._where:
+            return
+        self.stop()
+        self._where, self._pause, self._failing = where, BACKOFF, False
+        self.start()
+
+    def _drop(self) -> None:
+        link, self._link, self._index = self._link, None, None
+        if link is not None:
+            link.drop()
 
-    async def _connect(self) -> None:
+    async def _connect(self, link: Link) -> None:
         host, port = self._where
         try:
             async with asyncio.timeout(SILENCE):
-                await self._loop.create_connection(lambda: self, host, port)
+                await self._loop.create_connection(lambda: link, host, port)
         except (OSError, TimeoutError) as error:
-            self._failed(f"cannot connect: {error or 'timed out'}")
+            self.failed(f"cannot connect: {error or 'timed out'}")
 
-    def _failed(self, why: str) -> None:
+    def failed(self, why: str) -> None:
         """Try again later; the old list stands."""
-        if self._transport is not None:
-            transport, self._transport = self._transport, None
-            transport.abort()
-        self._index = None
-        if self._stopped:
-            return
+        self._drop()
         if not self._failing:
             log.warning("discovery: %s; keeping the list and trying again", why)
         self._failing = True
@@ -122,56 +196,26 @@
             self._timer.cancel()
         self._timer = self._loop.call_later(delay, call)
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Ask at once."""
-        self._transport = cast(asyncio.Transport, transport)
-        self._parser = httptools.HttpResponseParser(self)
-        self._ask()
-
-    def _ask(self) -> None:
+    def ask(self) -> None:
+        """Ask for the whole list, or for what comes after it."""
         path, silence = "/v1/servers", SILENCE
         if self._index is not None:
             path, silence = f"{path}?index={self._index}&wait={int(WAIT * 1000)}", WAIT + SILENCE
-        self._body: list[bytes] = []
-        self._size, self._whole, self._answered = 0, False, False
-        cast(asyncio.Transport, self._transport).write(
-            f"GET {path} HTTP/1.1\r\nHost: {self._where[0]}:{self._where[1]}\r\n\r\n".encode())
+        cast(Link, self._link).ask(path)
         # Guards against an agent that has gone silent, which no close tells of: an open wait ends in time.
-        self._after(silence, lambda: self._failed("silent"))
+        self._after(silence, lambda: self.failed("silent"))
 
-    def data_received(self, data: bytes) -> None:
-        """A piece of an answer."""
-        try:
-            self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            self._failed(f"malformed answer: {error}")
-            return
-        if self._whole:
-            self._take()
-
-    def on_body(self, data: bytes) -> None:
-        """A piece of a list."""
-        self._size += len(data)
-        if self._size > MAX_LIST:
-            raise ValueError("list too long")
-        self._body.append(data)
-
-    def on_message_complete(self) -> None:
-        """An answer is whole."""
-        self._whole = True
-
-    def _take(self) -> None:
-        """Pass on what an answer says, and ask for what comes next."""
-        status = self._parser.get_status_code()
+    def answered(self, status: int, body: bytes, ended: bool) -> None:
+        """Pass on what an answer says, and ask for what comes next, unless its connection ends with it."""
         try:
             if status != 200:
                 raise ValueError(f"status {status}")
-            news = News(json.loads(b"".join(self._body)), self._offset)
-        except ValueError as error:
-            self._failed(f"malformed answer: {error}")
+            news = News(json.loads(body), self._offset)
+        except (ValueError, RecursionError) as error:
+            self.failed(f"malformed answer: {error}")
             return
         if self._index is None and not news.whole:
-            self._failed("no whole list")
+            self.failed("no whole list")
             return
         if self._failing:
             log.info("discovery: back")
@@ -179,21 +223,10 @@
         if news.skipped and news.skipped != self._skipped:
             log.warning("discovery: skipped a malformed entry: %s", news.skipped)
         self._skipped = news.skipped
-        if self._parser.should_keep_alive():
-            self._ask()  # first: the next watch must begin soon after the last answer
+        if ended:
+            link, self._link = self._link, None
+            cast(Link, link).drop()
+            self.start()  # announced with the answer, so no failure
         else:
-            self._answered = True
-            cast(asyncio.Transport, self._transport).close()
+            self.ask()  # first: the next watch must begin soon after the last answer
         self._tell(news)
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        """The agent has closed, or died."""
-        if self._transport is None:
-            return
-        self._transport = None
-        if self._answered and not self._stopped:
-            # Announced with the last answer, so no failure; not before, or this end could be taken for the
-            # next connection's.
-            self.start()
-        else:
-            self._failed(f"connection lost: {exc or 'closed'}")
--- a/tests/stand.py
+++ b/tests/stand.py
@@ -11,6 +11,7 @@
 import json
 import os
 import re
+import signal
 import socket
 import struct
 import sys
@@ -20,6 +21,7 @@
 from typing import Any
 
 LIMIT = 20.0
+FILES = tempfile.TemporaryDirectory()  # configurations, removed at the end of the tests
 FACTS: dict[str, Any] = {
     "Caps": {"Cancel": True, "MaxAttempts": 3, "MaxRetryAfterUs": 500000, "RetryAfter": True,
              "SecondCopies": False, "ConnectTimeoutUs": 250000, "IdleCloseUs": 15000000},
@@ -141,7 +143,7 @@
         self.raw: bytes | None = None  # answered in place of the list
         self._changed = asyncio.Event()
         self._delta: list[Any] = []
-        self._writers: set[asyncio.StreamWriter] = set()
+        self._ends: list[tuple[asyncio.StreamReader, asyncio.StreamWriter]] = []
         self._server: asyncio.Server | None = None
 
     async def start(self) -> Discovery:
@@ -154,9 +156,14 @@
         """Die."""
         assert self._server is not None
         self._server.close()
-        for writer in self._writers:
+        for _, writer in self._ends:
             writer.transport.abort()
 
+    @property
+    def open(self) -> int:
+        """How many connections stand."""
+        return sum(not (reader.at_eof() or writer.transport.is_closing()) for reader, writer in self._ends)
+
     def change(self, *entries: Any) -> None:
         """Tell the watch of changes."""
         self.index += 1
@@ -168,7 +175,7 @@
         await until(lambda: any(f"index={self.index}&" in path for path in self.asked))
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self._writers.add(writer)
+        self._ends.append((reader, writer))
         with contextlib.suppress(asyncio.CancelledError, ConnectionError):
             await self._answer(reader, writer)
         writer.close()
@@ -239,8 +246,8 @@
 class Gatekeeper:
     """The real program in a process of its own."""
 
-    def __init__(self, process: asyncio.subprocess.Process) -> None:
-        self.process, self.port = process, 0
+    def __init__(self, process: asyncio.subprocess.Process, file: Path) -> None:
+        self.process, self.file, self.port = process, file, 0
         self.log: list[str] = []
         self._told = asyncio.Event()
         self._reading = asyncio.create_task(self._read())
@@ -257,6 +264,13 @@
         """Wait until it listens."""
         await self._told.wait()
 
+    async def reload(self, text: str, line: str) -> None:
+        """Replace its file, send SIGHUP and wait for the line that tells what came of it."""
+        self.file.write_text(text)
+        self.log.clear()
+        self.process.send_signal(signal.SIGHUP)
+        await self.logged(line)
+
     async def client(self) -> Client:
         """A new connection to it."""
         return Client(*await asyncio.open_connection("127.0.0.1", self.port))
@@ -288,17 +302,16 @@
 
 async def launch(configuration: object) -> Gatekeeper:
     """Start the program."""
-    with tempfile.NamedTemporaryFile("w", suffix=".json", delete=False) as file:
-        file.write(configuration if isinstance(configuration, str) else json.dumps(configuration))
+    file = Path(tempfile.mkstemp(suffix=".json", dir=FILES.name)[1])
+    file.write_text(configuration if isinstance(configuration, str) else json.dumps(configuration))
     process = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "oliveloft", env={**os.environ, "PROXY_CONFIG": file.name},
+        sys.executable, "-m", "oliveloft", env={**os.environ, "PROXY_CONFIG": str(file)},
         cwd=Path(__file__).parent.parent, stderr=asyncio.subprocess.PIPE)
-    gatekeeper = Gatekeeper(process)
+    gatekeeper = Gatekeeper(process, file)
     # It has read its file once it has told of its port or has ended.
     waiting = [asyncio.create_task(gatekeeper.listening()), asyncio.create_task(process.wait())]
     await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
     waiting[0].cancel()
-    os.unlink(file.name)
     return gatekeeper
 
 
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -31,7 +31,8 @@
     (without("settings.NInstances", value=0), "gateways"), (without("settings.Classes", value=[]), "classes"),
     (without("settings.Caps.ConnectTimeoutUs", value=-1), "ConnectTimeoutUs"),
     (without("listen", value="nowhere"), "listen"), (without("listen", value="127.0.0.1:99999"), "listen"),
-    (without("discovery"), "discovery"), (without("seed", value="xyz"), "seed"),
+    (without("discovery"), "discovery"), (without("counter", value="here"), "counter"),
+    (without("seed", value="xyz"), "seed"),
     (without("limits.sockets", value="many"), "limits.sockets"), (without("known", value=3), "known"),
 ])
 def test_a_bad_configuration_ends_with_one_plain_line_that_names_the_key(made, key):
@@ -94,6 +95,69 @@
     run(scenario())
 
 
+def test_sighup_moves_the_watch_and_requests_in_flight_do_not_notice():
+    async def scenario():
+        worker, other = Worker("w", hang), await Worker("v").start()
+        async with scene(worker) as (gatekeeper, old, client):
+            go = asyncio.Event()
+
+            async def wait(request, writer):
+                await go.wait()
+                await answer()(request, writer)
+
+            worker.script = wait
+            client.send(Client.request("write", timeout="3.0"))
+            await until(lambda: worker.seen)
+            new = await Discovery([worker.entry(), other.entry()]).start()
+            new.index = 7  # whatever the old one's was
+            for n, agent in enumerate((new, old, new)):  # to and fro: each move begins with the whole list
+                before = [len(a.asked) for a in (old, new)]
+                await gatekeeper.reload(json.dumps({**config(agent.port), "counter": "127.0.0.1:9"}),
+                                        f"reloaded: discovery at 127.0.0.1:{agent.port}")
+                await until(lambda: agent.asked[before[agent is new]:][1:])  # noqa: B023
+                assert agent.asked[before[agent is new]] == "/v1/servers"
+                left = old if agent is new else new
+                await until(lambda: left.open == 0)  # noqa: B023
+                assert len(left.asked) == before[left is new], n
+            go.set()
+            assert (await client.receive()).status == 200
+            worker.script = answer()
+            while not other.seen:
+                assert (await client.ask("write")).status == 200
+            assert worker.connections == 1
+    run(scenario())
+
+
+def test_sighup_drops_a_retry_that_was_due_to_the_old_address():
+    async def scenario():
+        async with scene(Worker("w")) as (gatekeeper, old, _):
+            old.stop()
+            await gatekeeper.logged("trying again")
+            new = await Discovery([]).start()
+            await gatekeeper.reload(json.dumps(config(new.port)), "reloaded")
+            await new.watched()
+            asked = len(old.asked)
+            await old.start()
+            await asyncio.sleep(1.2)  # longer than any pause between two tries
+            assert len(old.asked) == asked and len(new.asked) == 2
+    run(scenario())
+
+
+@pytest.mark.parametrize(("text", "line"), [
+    ("{", "PROXY_CONFIG"), (json.dumps(without("settings")), "settings"),
+    (json.dumps(without("discovery", value="nowhere")), "discovery")])
+def test_sighup_with_a_bad_file_changes_nothing(text, line):
+    async def scenario():
+        async with scene(Worker("w")) as (gatekeeper, discovery, client):
+            await gatekeeper.reload(text, f"reload: {line}")
+            assert len(gatekeeper.log) == 1
+            assert (await client.ask("write")).status == 200
+            discovery.change()
+            await discovery.watched()
+            assert discovery.asked.count("/v1/servers") == 1
+    run(scenario())
+
+
 def test_it_never_holds_more_descriptors_than_it_was_granted():
     async def scenario():
         async with scene(Worker("w"), sockets=100) as (gatekeeper, _, client):
