--- a/micagate/control.py
+++ b/micagate/control.py
@@ -32,6 +32,7 @@
 LEAST = 2.0  # requests that a part of the store should hold; thinner ones get credit (ours)
 SMOOTH = 2.0  # seconds that a reading of the meter should span; shorter ones are averaged (ours)
 AIMED = 0.9  # of the quota: what the slices steer the metered use to (ours)
+UNSEEN = 0.5  # use taken for granted before the first reading: most customers are calm (ours)
 IDLE = 30.0  # seconds after which an idle customer's entry may go (ours)
 
 # Fleet and attempts: ours, since the design leaves them open.
@@ -52,7 +53,7 @@
 FAILS = 3  # errors or time-outs in a row that make a worker suspect
 RETRY_SHARE, RETRY_DEPTH = 0.2, 10.0  # retry budget: further attempts per first try, and how many it saves up
 ADVICE = 0.2  # of the aim: the longest wait that a refusal advises
-SHORT = 0.98  # of the longest wait for a try of a class: less was cut short by the deadline
+WAITS, ALIKE = 32, 0.02  # latest first tries of a class whose waits are kept; those this near are alike
 
 
 class Throttle:
@@ -167,7 +168,7 @@
         self.ceiling = min(plan.ceiling_depth, (now - born) * plan.ceiling_rate) / spread
         self.at = self.tick = now
         self.asked = self.forecast = self.longer = self.top = 0.0
-        self.use, self.read, self.readings, self.fresh = 1.0, now, 0, False
+        self.use, self.read, self.readings, self.fresh = UNSEEN, now, 0, False
         self.out = 0
 
     def metered(self, now: float, used: float, period: float) -> None:
@@ -547,7 +548,8 @@
         self._out: dict[tuple[str, int], Attempt] = {}
         self._timers: dict[int, tuple[str, str, int]] = {}
         self._refs = 0
-        self._patience: dict[str, float] = {}  # the longest wait for one try seen of a class
+        # How long clients wait for a first try, lately.
+        self._waits = {c.name: deque[float](maxlen=WAITS) for c in settings.classes}
         self._budget = RETRY_DEPTH
         self._subscribed = not settings.must_subscribe
         self._actions: list[i.Action] = []
@@ -590,6 +592,8 @@
         account.asked += event.units
         pending = Pending(event, klass, account, now + event.time_left)
         pending.inside = self.quotas.inside(account, event.units, self.throttle.on)
+        if not event.repeat:
+            self._waits[klass.name].append(event.time_left)
         self._budget = min(RETRY_DEPTH, self._budget + RETRY_SHARE)
         # Beyond the quota only where that pays, and never while the back end is pressed.
         welcome = pending.inside or (plan.beyond_earns > plan.excess_cost and not self.throttle.on)
@@ -614,12 +618,15 @@
     def _too_late(self, klass: i.RequestClass, time_left: float) -> bool:
         """Whether a later try comes when its aim has surely passed, so that it would spend units for nothing.
 
-        A client waits the same for each try until its deadline cuts the last ones short: then what is left
-        tells when it began. Harm: none seen where clients' patience varies less than SHORT from try to try.
+        A client waits for each try as long as for its first, until the deadline cuts a try short or, at its
+        last, all that is left: so a wait unlike those of first tries tells when the request began. Guards
+        against taking a usual wait for one that was cut: clients differ, and so does their last try. Harm:
+        none seen while clients of one kind wait alike.
         """
-        longest = self._patience[klass.name] = max(time_left, self._patience.get(klass.name, 0.0))
         begun = klass.deadline - time_left
-        return not klass.late_worth and time_left < SHORT * longest and begun > klass.aim
+        if klass.late_worth or begun <= klass.aim:
+            return False
+        return all(abs(wait - time_left) > ALIKE * klass.deadline for wait in self._waits[klass.name])
 
     def _refuse(self, request: str, aim: float) -> None:
         """Refuse with advice that leaves several tries before the aim: later ones spend units for nothing."""
