--- a/micagate/control.py
+++ b/micagate/control.py
@@ -192,10 +192,14 @@
 
     def __init__(self, now: float) -> None:
         self._born = now
-        self._accounts: OrderedDict[str, Account] = OrderedDict()
+        self._accounts: OrderedDict[tuple[str, str], Account] = OrderedDict()
 
     def account(self, now: float, customer: str, plan: i.Plan, spread: int) -> Account:
-        """The customer's entry brought up to now; entries idle for long and full again are dropped."""
+        """The customer's entry brought up to now; entries idle for long and full again are dropped.
+
+        Guards against requests that name a customer wrongly: another plan has an entry of its own, and
+        another set only moves the bounds, so that neither fills a store again.
+        """
         while self._accounts:
             name, oldest = next(iter(self._accounts.items()))
             if now - oldest.at < IDLE or oldest.out:
@@ -205,10 +209,13 @@
                 self._accounts.move_to_end(name)
             else:
                 del self._accounts[name]
-        account = self._accounts.get(customer)
-        if account is None or account.plan is not plan:
-            account = self._accounts[customer] = Account(plan, spread, now, self._born)
-        self._accounts.move_to_end(customer)
+        key = customer, plan.name
+        account = self._accounts.get(key)
+        if account is None:
+            account = self._accounts[key] = Account(plan, spread, now, self._born)
+        elif account.spread != spread:
+            account.spread, account.depth, account.floor = spread, plan.burst / spread, plan.rate / spread
+        self._accounts.move_to_end(key)
         self._refill(now, account)
         return account
 
@@ -487,7 +494,7 @@
             worker.held.append(now + self._s.fall_time)
         if status in (i.CANCELLED, i.VOID):
             return
-        if status in (i.SUCCESS, i.FULL, i.FAILURE):
+        if status in (i.SUCCESS, i.FULL, i.FAILURE, i.SPOILT):
             worker.heard = now
         if status == i.SUCCESS:
             self._fade(now)
@@ -501,7 +508,7 @@
             self._answers += 1
             if self._answers >= ENOUGH:
                 self._brisk = min(self._brisk, max(self._usual.values()))
-        elif status != i.FULL:
+        elif status not in (i.FULL, i.SPOILT):  # answers spoilt by chance tell nothing of a worker's health
             worker.fails += 1
             sudden = status in (i.UNREACHABLE, i.BROKEN)
             if sudden or worker.fails >= FAILS:
--- a/micagate/interface.py
+++ b/micagate/interface.py
@@ -15,6 +15,7 @@
 HEALTHY, DRAINING, GONE = "healthy", "draining", "gone"
 SUCCESS, FAILURE, FULL, TIMED_OUT = "success", "failure", "full", "timed_out"
 UNREACHABLE, BROKEN, CANCELLED, VOID = "unreachable", "broken", "cancelled", "void"
+SPOILT = "spoilt"  # an answer came that cannot be used: the worker lives, and the attempt may have run
 NEVER_RAN = frozenset({FULL, UNREACHABLE, VOID})
 
 
--- a/oliveloft/workers.py
+++ b/oliveloft/workers.py
@@ -6,7 +6,9 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import logging
+import re
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import cast
@@ -19,10 +21,14 @@
 
 MAX_BODY = 64 * 1024
 MAX_HEAD = 16 * 1024
+MOST_INTERIM = 8  # 1xx answers ahead of the one that counts
 IDLE_SHARE = 0.6  # of the worker's idle time-out: later, a request could cross the worker's closing
 HOP_BY_HOP = frozenset((
     b"connection", b"keep-alive", b"proxy-connection", b"proxy-authenticate", b"proxy-authorization", b"te",
     b"trailer", b"transfer-encoding", b"upgrade", b"content-length"))
+PERCENT = re.compile(rb"[0-9]{1,6}(\.[0-9]{1,9})?")
+# What keeps a connection from coming up on this side: no worker is to blame.
+OWN_SHORTAGE = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL))
 
 
 class Oversize(Exception):
@@ -114,8 +120,8 @@
     """One connection to a worker; it carries one attempt at a time."""
 
     __slots__ = ("_pool", "process", "attempt", "transport", "task", "idle_since", "_parser", "_answer",
-                 "_body", "_size", "_written", "_heard", "_headed", "_framed", "_complete", "_reusable",
-                 "_closed")
+                 "_body", "_size", "_unread", "_interim", "_written", "_headed", "_framed", "_ends",
+                 "_complete", "_reusable", "_closed")
 
     def __init__(self, pool: Workers, process: Process, attempt: Attempt) -> None:
         self._pool, self.process = pool, process
@@ -123,15 +129,15 @@
         self.transport: asyncio.Transport | None = None
         self.task: asyncio.Task[None] | None = None
         self.idle_since = 0.0
-        self._parser = httptools.HttpResponseParser(self)
+        self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
         self._closed = False
         self._reset()
 
     def _reset(self) -> None:
         self._answer = Answer()
         self._body: list[bytes] = []
-        self._size = 0
-        self._written = self._headed = self._framed = self._complete = False
+        self._size = self._unread = self._interim = 0
+        self._written = self._headed = self._framed = self._ends = self._complete = False
         self._reusable = True
 
     # The transport's side.
@@ -146,9 +152,7 @@
             self.transport.abort()
         elif self.process.told is not None:
             # Guards the drain rule: told while this connection came up, so nothing was written.
-            self.attempt = None
-            self.close()
-            attempt.finish(i.UNREACHABLE)
+            self._end(i.VOID)
         else:
             self.send(attempt)
 
@@ -166,22 +170,27 @@
 
     def data_received(self, data: bytes) -> None:
         """A piece of an answer, or something that nobody asked for."""
-        if self.attempt is None:
+        if self.attempt is None or self._parser is None:
             self.close()  # Guards against stray bytes that would be taken for the next request's answer.
             return
+        self._unread += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._reusable = False
             if not self._complete:
-                self._end(i.BROKEN)
+                self._end(i.SPOILT)
                 return
         if self._complete:
             self._finish()
+        elif self._unread > MAX_HEAD + (4 * self._pool.max_body if self._headed else 0):
+            # Guards the memory: the parser gathers a header to its end, and tells only then.
+            self._end(i.SPOILT)
 
     def eof_received(self) -> bool:
-        """The worker has ended its sending: an answer framed by that is whole, any other is cut."""
-        if self.attempt is not None and self._headed and not self._framed and not self._complete:
+        """The worker has ended its sending: that frames an answer which announced it, and cuts any other."""
+        framed_so = self._headed and self._ends and not self._framed
+        if self.attempt is not None and framed_so and not self._complete:
             self._reusable = False
             self.on_message_complete()
             self._finish()
@@ -189,7 +198,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """The connection is gone; what was out on it may have run once its last byte had left."""
-        self.transport = None
+        self.transport = self._parser = None  # parser and protocol refer to each other
         self._end(i.BROKEN if self._written else i.UNREACHABLE)
         self._pool.lost(self)
 
@@ -203,7 +212,7 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Keep a header; trailers count to the size and are left."""
         self._size += len(name) + len(value)
-        if self._size > MAX_HEAD + self._pool.max_body:
+        if self._size > MAX_HEAD + (self._pool.max_body if self._headed else 0):
             raise Oversize
         if self._headed:
             return
@@ -211,15 +220,17 @@
         if lower == b"x-not-processed":
             self._answer.not_processed = value.strip() == b"1"
         elif lower == b"x-allowance-used":
-            try:
-                used = float(value) / 100
-            except ValueError:
-                return
-            if 0 <= used < 1e6:
-                self._answer.used = used
+            if PERCENT.fullmatch(value):  # what can't be read is left; the last that could be stands
+                self._answer.used = float(value) / 100
         elif lower in HOP_BY_HOP:
-            if lower == b"content-length" or lower == b"transfer-encoding":
+            if lower == b"content-length":
                 self._framed = True
+                if int(value) > self._pool.max_body:
+                    raise Oversize  # before any of it is read
+            elif lower == b"transfer-encoding":
+                self._framed = True
+            elif lower == b"connection" and value.lower() == b"close":
+                self._ends = True
         elif lower != b"x-server-load":
             self._answer.headers.append(b"%b: %b\r\n" % (name, value))
 
@@ -227,8 +238,8 @@
         """The head is whole."""
         if self._complete:
             return  # guards the answer against the status of a stray one behind it
-        self._headed = True
-        self._answer.status = self._parser.get_status_code()
+        self._headed, self._unread = True, 0
+        self._answer.status = cast(httptools.HttpResponseParser, self._parser).get_status_code()
 
     def on_body(self, data: bytes) -> None:
         """A piece of the body."""
@@ -242,12 +253,17 @@
         if self._complete:
             return
         if 100 <= self._answer.status < 200:
+            self._interim += 1
+            if self._interim > MOST_INTERIM:
+                raise Oversize
             self._answer = Answer()
-            self._headed = self._framed = False
+            self._headed = self._framed = self._ends = False
+            self._unread = 0
             return
         self._complete = True
         self._answer.body = b"".join(self._body)
-        self._reusable = self._reusable and self._parser.should_keep_alive()
+        self._reusable = self._reusable and cast(
+            httptools.HttpResponseParser, self._parser).should_keep_alive()
 
     # Ends.
 
@@ -288,6 +304,10 @@
             self.task.cancel()
             self._pool.lost(self)
 
+    def give_back(self) -> None:
+        """It can't come up for want of something here; nothing was written, and no worker is to blame."""
+        self._end(i.VOID)
+
     def connect_expired(self) -> None:
         """It did not come up in time; nothing was written."""
         if self.transport is None:
@@ -352,8 +372,8 @@
             connection.send(attempt)
             return
         if len(self._open) >= self._limit and not self._make_room():
-            # Guards against running out of descriptors: it was never sent, and another may find room.
-            attempt.finish(i.UNREACHABLE)
+            # Guards against running out of descriptors: it was never sent, and no worker is to blame.
+            attempt.finish(i.VOID)
             return
         connection = Connection(self, process, attempt)
         attempt.connection = connection
@@ -366,6 +386,8 @@
         try:
             await self.loop.create_connection(lambda: connection, host, port)
         except OSError as error:
+            if error.errno in OWN_SHORTAGE:
+                connection.give_back()
             connection.connection_lost(error)
         finally:
             timer.cancel()
--- a/tests/test_bridge.py
+++ b/tests/test_bridge.py
@@ -1,6 +1,7 @@
 """The bridge with a scripted module: attempts end once, requests end in time, faults stay small."""
 
 import asyncio
+import errno
 from collections.abc import Callable
 
 import pytest
@@ -214,7 +215,7 @@
         case.submit()  # the connection is on its way
         case.know(worker, status="draining")
         await until(lambda: case.module.outcomes())
-        assert case.module.outcomes() == [(0, i.UNREACHABLE, False)]
+        assert case.module.outcomes() == [(0, i.VOID, False)]  # nobody is to blame
         await until(lambda: worker.closed == worker.connections)
         assert not worker.seen
     run(scenario())
@@ -270,6 +271,27 @@
     run(scenario())
 
 
+@pytest.mark.parametrize(("number", "status"), [(errno.EMFILE, i.VOID), (errno.ECONNREFUSED, i.UNREACHABLE)])
+def test_a_shortage_on_this_side_is_held_against_no_worker(number, status, monkeypatch):
+    async def scenario():
+        case = Case(on(i.Request, i.Send("r", "w")))
+        worker = Worker("w")
+        worker.port = 9
+        case.know(worker)
+
+        class Loop:
+            def __getattr__(self, name):
+                return getattr(case.loop, name)
+
+            async def create_connection(self, *args):
+                raise OSError(number, "none")
+        case.workers.loop = Loop()
+        case.submit()
+        await until(lambda: case.module.outcomes())
+        assert case.module.outcomes() == [(0, status, False)] and not case.workers._open
+    run(scenario())
+
+
 def test_an_attempt_given_up_before_its_connection_task_began_leaves_nothing():
     async def scenario():
         worker = await Worker("w").start()
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -58,6 +58,20 @@
         d.answer(name, sends(actions)[0], i.FAILURE)
 
 
+def test_a_spoilt_answer_puts_no_worker_out_and_a_break_does():
+    for status, stays in ((i.SPOILT, True), (i.BROKEN, False)):
+        d = Driver()
+        name, actions = d.ask("write")
+        (worker,) = sends(actions)
+        assert d.answer(name, worker, status) == [i.Fail(name)]  # either may have run
+        met = set()
+        for _ in range(12):
+            name, actions = d.ask("write", plan="free")
+            met.update(sends(actions))
+            d.answer(name, sends(actions)[0], took=0.1)
+        assert (worker in met) is stays
+
+
 def test_a_silent_worker_is_given_up_on_before_the_aim_where_a_repeat_is_safe():
     d = Driver()
     serve(d, 60)
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -39,6 +39,58 @@
     run(scenario())
 
 
+OK = b"HTTP/1.1 200 OK\r\n"
+WHOLE = OK + b"Content-Length: 4\r\n\r\ngood"
+SPOILT = {
+    "noise": b"\xfe\xee\x97 noise\r\n\r\n",
+    "no status": b"HTTP/1.1 OK 200\r\nContent-Length: 2\r\n\r\nno",
+    "no colon": OK + b"no colon here\r\nContent-Length: 2\r\n\r\nno",
+    "two lengths": OK + b"Content-Length: 2\r\nContent-Length: 4\r\n\r\nnono",
+    "a length below nothing": OK + b"Content-Length: -1\r\n\r\nno",
+    "length and chunks": OK + b"Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\nno",
+    "chunks that are none": OK + b"Transfer-Encoding: chunked\r\n\r\nxyz\r\nno",
+    "3 GB announced": OK + b"Content-Length: 3000000000\r\n\r\n",
+    "a head of many lines": OK + b"X-Pad: ppppppp\r\n" * 2000,
+    "a header without end": OK + b"X-Pad: " + b"p" * 40_000,
+    "1xx without end": b"HTTP/1.1 103 Early Hints\r\n\r\n" * 1000,
+    "an upgrade": b"HTTP/1.1 101 Switching\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n",
+}
+
+
+def spoilt(raw: bytes) -> Script:
+    """A script that writes this and leaves the connection open."""
+    async def script(request: Message, writer: asyncio.StreamWriter) -> None:
+        writer.write(raw)
+    return script
+
+
+@pytest.mark.parametrize("what", SPOILT)
+def test_a_spoilt_answer_fails_at_once_its_connection_is_closed_and_its_worker_stays(what):
+    async def scenario():
+        worker = Worker("w", spoilt(SPOILT[what]))
+        async with scene(worker) as (_, _, client):
+            assert (await client.ask("write", timeout="3.9")).status == 502
+            await until(lambda: worker.closed == 1)
+            worker.script = spoilt(WHOLE)
+            assert (await client.ask("write")).body == b"good" and worker.over == [1, 2]
+    run(scenario())
+
+
+@pytest.mark.parametrize("more", [WHOLE, b"\xfe\xee noise", OK, b"HTTP/1.1 100 Continue\r\n\r\n"])
+def test_a_good_answer_with_more_behind_it_is_served_and_its_connection_used_no_more(more):
+    async def scenario():
+        worker = Worker("w", spoilt(WHOLE + more))
+        async with scene(worker) as (_, _, client):
+            for n in (1, 2):
+                assert (await client.ask("write")).body == b"good"
+                await until(lambda: worker.closed == n)  # noqa: B023
+            worker.script = spoilt(b"HTTP/1.1 100 Continue\r\n\r\n" * 3 + OK + b"X-Allowance-Used: 1_0\r\n" +
+                                   b"X-Server-Load: {odd\r\nContent-Length: 4\r\n\r\nfine")
+            assert (await client.ask("write")).body == b"fine" and (await client.ask("write")).body == b"fine"
+            assert worker.over == [1, 2, 3, 3]
+    run(scenario())
+
+
 def first(script: Script) -> Script:
     """A script for the first request to come, shared by workers; later ones are served."""
     left = [script]
@@ -121,12 +173,14 @@
     run(scenario())
 
 
-def test_an_answer_framed_by_the_end_of_the_connection_is_whole():
+def test_an_answer_framed_by_the_end_of_the_connection_is_whole_only_where_it_says_so():
     async def scenario():
-        worker = Worker("w", answer(raw=b"HTTP/1.1 200 OK\r\n\r\nall of it"))
+        worker = Worker("w", answer(raw=b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nall of it"))
         async with scene(worker) as (_, _, client):
             got = await client.ask("write")
             assert got.status == 200 and got.body == b"all of it"
+            worker.script = answer(raw=b"HTTP/1.1 200 OK\r\n\r\nall of")
+            assert (await client.ask("write")).status == 502
     run(scenario())
 
 
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -104,6 +104,19 @@
         assert bool(sends(d.give(event))) is goes
 
 
+def test_naming_a_customer_wrongly_fills_no_store_again():
+    other = i.Plan("other", rate=9.0, burst=90.0)
+    capped = i.Plan("capped", rate=3.0, burst=6.0, ceiling_rate=6.0, ceiling_depth=24.0)
+    quotas = Quotas(-60.0)
+    a = quotas.account(0.0, "c", capped, 2)
+    quotas.take(a, 3.0, True)
+    assert (a.store, a.ceiling) == (0.0, 9.0)
+    quotas.account(0.0, "c", other, 2)  # a plan that is not the customer's
+    for spread in (1, 3, 2):  # and sets that are not
+        assert quotas.account(0.0, "c", capped, spread) is a
+        assert a.store == 0.0 and a.ceiling <= 9.0 and a.depth == 6.0 / spread
+
+
 def test_a_repeat_is_no_latecomer_because_others_wait_for_longer():
     # A client's last try waits for all that is left, and clients differ: a usual wait is none cut short.
     d = Driver()
