--- a/oliveloft/__main__.py
+++ b/oliveloft/__main__.py
@@ -27,6 +27,7 @@
 SWEEP_SHARE = 0.1
 RESERVE = 48  # descriptors for all but clients and workers, and for connections on their way out
 CLIENT_SHARE = 0.6  # of the rest; the others are for workers
+KEPT_SHARE = 0.2  # of the descriptors, for clients' connections that may rest: clients hold a third at most
 BACKLOG = 1024
 
 
@@ -37,7 +38,8 @@
     clients = int(room * CLIENT_SHARE)
     workers = Workers(loop, room - clients, config.connect_timeout, config.idle_close, config.drain_grace)
     bridge = Bridge(loop, config.settings, Gateway(config.settings, config.seed, loop.time()), workers)
-    server = Server(loop, config.settings, config.units_top, clients, bridge)
+    kept = int(config.sockets * KEPT_SHARE)
+    server = Server(loop, config.settings, config.units_top, clients, kept, bridge)
     offset = time.time() - loop.time()  # once: a worker's start must be the same in every list
 
     def tell(news: News) -> None:
--- a/oliveloft/server.py
+++ b/oliveloft/server.py
@@ -16,7 +16,7 @@
 
 log = logging.getLogger("oliveloft")
 
-IDLE = 5.0  # seconds after which an idle client connection is closed
+IDLE = 2.0  # seconds after which an idle client connection is closed
 SILENT = 2.0  # the same for one that has not sent a request that could be served
 SLOW = 2.5  # seconds that a client may take over sending a request, or over reading a reply
 LINGER = 0.5  # seconds that a turned-down client has to read the reply and to close
@@ -294,6 +294,8 @@
             return
         keep = self._keep and not self._server.closing
         self.since = self._server.loop.time()
+        if self.good:
+            self._server.rested(self)
         transport.write(b"HTTP/1.1 %d %b\r\n%bContent-Length: %d\r\n%b\r\n%b" % (
             status, REASONS[status], headers, len(body), b"" if keep else b"Connection: close\r\n", body))
         if keep:
@@ -343,14 +345,16 @@
     """All client connections, and the bound on them."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, settings: i.Settings, units_top: float, limit: int,
-                 bridge: Bridge) -> None:
+                 kept: int, bridge: Bridge) -> None:
         self.loop, self.bridge = loop, bridge
         self.closing = False  # every further reply closes its connection
         self.emptied: asyncio.Event = asyncio.Event()
-        self._limit, self._units_top, self._gateways = limit, units_top, settings.gateways
+        self._limit, self._kept = limit, kept
+        self._units_top, self._gateways = units_top, settings.gateways
         self._classes = {c.name.encode(): c for c in settings.classes}
         self._clients: dict[Client, None] = {}
         self._fresh: dict[Client, None] = {}  # those that have sent nothing of use yet, oldest first
+        self._usual: dict[Client, None] = {}  # those that have, the one whose last reply is oldest first
         self._plans = {p.name.encode() for p in settings.plans}
         self._able = self._retired = False
         self._weights: dict[bytes, tuple[float, int]] = {}
@@ -376,8 +380,7 @@
         if len(self._clients) >= self._limit:
             other = next(iter(self._fresh), None)
             if other is None:
-                idle = [one for one in self._clients if one.idle()]
-                other = min(idle, key=lambda one: one.since) if idle else None
+                other = self._resting()
             if other is not None:
                 self._fresh.pop(other, None)
                 other.abort()
@@ -389,14 +392,30 @@
 
     def served(self, client: Client) -> None:
         """A connection has sent a request that can be served."""
-        if not client.good:
-            client.good = True
-            self._fresh.pop(client, None)
+        if client.good:
+            return
+        client.good = True
+        self._fresh.pop(client, None)
+        self._usual[client] = None
+        if len(self._usual) > self._kept and (other := self._resting()) is not None:
+            # Guards against clients that ask once on each connection and keep it: they may hold so many, and
+            # once those all rest here they can ask for nothing more.
+            other.close()
+
+    def rested(self, client: Client) -> None:
+        """A client has had its reply."""
+        self._usual.pop(client, None)
+        self._usual[client] = None
+
+    def _resting(self) -> Client | None:
+        """The usual client that has been idle the longest."""
+        return next((client for client in self._usual if client.idle()), None)
 
     def left(self, client: Client) -> None:
         """A connection is gone."""
         self._clients.pop(client, None)
         self._fresh.pop(client, None)
+        self._usual.pop(client, None)
         if self.closing and not self._clients:
             self.emptied.set()
 
