--- a/micagate/control.py
+++ b/micagate/control.py
@@ -425,9 +425,12 @@
         answered, usual = self._took * fade, PRIOR * self._aim
         ages = sum(now - sent for sent, aim in self._waiting.values())
         lost = 0.0 if self.lossy() else self._lost * fade
-        share = (OLD_SHARE * usual + answered + lost + ages) / (usual + self._aims * fade + lost)
+        out = sum(aim for _, aim in self._waiting.values())
+        new = self._answers < ENOUGH  # no pace is known yet: what is out tells by its age alone
+        share = (OLD_SHARE * usual + answered + lost + ages) / (
+            usual + self._aims * fade + lost + (out if new else 0.0))
         crowd = (1 + len(self._waiting)) / (1 + max(1.0, answered / SPELL))
-        if ages < YOUNG_SHARE * sum(aim for _, aim in self._waiting.values()):
+        if new or ages < YOUNG_SHARE * out:
             crowd = min(1.0, crowd)  # much out but all young: a burst on idle workers
         return (share * crowd - LOW_SHARE) / (HIGH_SHARE - LOW_SHARE)
 
--- a/tests/test_throttle.py
+++ b/tests/test_throttle.py
@@ -110,6 +110,14 @@
     assert t._due > due and t.rate >= 0.65 * before
 
 
+def test_the_first_burst_after_a_start_is_let_in_as_no_pace_is_known_yet():
+    d = Driver()
+    went = [bool(sends(d.ask("write", after=0.005)[1])) for _ in range(30)]
+    assert all(went) and not d.gateway.throttle.on
+    d.now += 1.5  # and then nothing is answered within its aim
+    assert not all(sends(d.ask("write")[1]) for _ in range(10))
+
+
 def test_the_latecomer_guard_sees_when_all_workers_hang_at_once():
     d = Driver(3)
     for _ in range(40):
