--- a/micagate/adapter.py
+++ b/micagate/adapter.py
@@ -8,7 +8,7 @@
 from typing import Any, TextIO
 
 from micagate import interface as i
-from micagate.control import Gateway
+from micagate.gateway import Gateway
 
 MICRO = 1_000_000
 STATES = {"healthy": i.HEALTHY, "cordoned": i.DRAINING, "deregistered": i.GONE}
--- /dev/null
+++ b/micagate/fleet.py
@@ -0,0 +1,358 @@
+"""The workers: the list, their health, the cold guard, and the choice of one."""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from random import Random
+
+from micagate import interface as i
+
+# All ours, since the design leaves the choice of a worker open.
+LEARN = 0.15  # weight of a new answer in what was learned
+FORGET = 10.0  # seconds in which an old judgement of a worker's speed fades
+FAR = 1.1  # a worker elsewhere must be this much better than one in the own zone
+NEAR = 8  # workers that a gateway among many keeps to: each is met every few seconds
+STALL = 4.0  # times the usual answer time after which silence counts as a stall
+BACKOFF, LONGEST_BACKOFF = 0.25, 4.0  # seconds before the first and any later trial of a failing worker
+RECENT = 2.0  # seconds over which the fleet's pace is averaged
+LATE_SHARE, OLD_SHARE = 0.5, 0.15  # of the aim: expected answer time and mean age out of a sure latecomer
+ENOUGH = 10.0  # attempts out or just answered that Little's law needs to mean something
+LOW_SHARE, HIGH_SHARE = 0.2, 0.4  # of the aim: pooled answer time at which none, and all, are refused
+YOUNG_SHARE = 0.05  # of the aim: mean age under which what is out is a burst, not a queue
+SPELL, PRIOR = 2.0, 1.0  # seconds of answers pooled where there are fewer, and usual ones mixed in
+SPARE = 2.0  # what a warm worker could take over what it gets, at the least (cold guard with many gateways)
+TOGETHER = 3.0  # attempts at a worker that all gateways together may always have (latecomer and cold guards)
+LOSSY, LOSSIER = 0.3, 4.0  # share of answers that a worker loses, and times what another loses: it loses them
+FAILS = 3  # errors or time-outs in a row that make a worker suspect
+
+
+class Worker:
+    """A worker as this gateway knows it."""
+
+    __slots__ = ("entry", "usable", "slow", "learned", "out", "heard", "latest", "losses", "fails",
+                 "until", "held", "turn", "pause", "rank")
+
+    def __init__(self, entry: i.WorkerEntry, slow: float, now: float, rank: float) -> None:
+        self.entry = entry
+        self.rank = rank  # drawn by chance: a gateway among many keeps to the first few
+        self.usable = True
+        self.slow = slow  # answer time over the usual one
+        self.learned = now
+        self.out: dict[tuple[str, int], float] = {}
+        self.heard = self.latest = now  # the last answer; when the latest-sent of those answered was sent
+        self.losses: dict[str, tuple[float, float]] = {}  # by class: share left unanswered, and as of when
+        self.fails = 0
+        self.until = 0.0
+        self.turn: float | None = None  # when this gateway may next send to it while it is too cold for all
+        self.pause = 0.0
+        self.held: deque[float] = deque()  # ends of the places that time-outs and refusals still hold
+
+
+class Fleet:
+    """The list of workers, their health, the cold guard and the choice of one."""
+
+    def __init__(self, settings: i.Settings, random: Random, now: float) -> None:
+        self._s, self._random = settings, random
+        self.workers: dict[str, Worker] = {}
+        self._usual: dict[str, float] = {}
+        self._done, self._done_at = 0.0, now
+        # Of the last answers: their times, their aims, and the aims of those that were given up.
+        self._took, self._aims, self._lost, self._told_at = 0.0, 0.0, 0.0, now
+        # Out, and not past its aim: when sent, the aim and where.
+        self._waiting: dict[tuple[str, int], tuple[float, float, Worker]] = {}
+        self.serving = 0
+        self._brisk = math.inf  # the shortest usual answer time so far, of the class that takes longest
+        self._answers = 0
+        self._near: list[Worker] = []  # the own few of the usable ones
+        self._aim = min(c.aim for c in settings.classes)
+
+    def update(self, now: float, news: i.WorkerList) -> None:
+        """Follow the list; a drained or gone worker gets nothing from here on, a restarted one is new."""
+        named = {entry.worker for entry in news.entries}
+        if news.whole:
+            for name, worker in self.workers.items():
+                worker.usable = worker.usable and name in named
+        sizes = [e.size for e in news.entries if e.size > 0] or [1.0]
+        mean = sum(sizes) / len(sizes)
+        for entry in news.entries:
+            known = self.workers.get(entry.worker)
+            if known is None or known.entry.started != entry.started:
+                fresh = Worker(entry, mean / entry.size if news.whole and entry.size > 0 else 1.0, now,
+                               known.rank if known else self._random.random())
+                if known is not None:
+                    fresh.out = known.out
+                self.workers[entry.worker] = known = fresh
+            known.entry = entry
+            known.usable = entry.state == i.HEALTHY
+        for name in [n for n, w in self.workers.items() if not w.usable and not w.out]:
+            del self.workers[name]
+        usable = [w for w in self.workers.values() if w.usable]
+        self.serving = len(usable)
+        few = max(NEAR, math.ceil(TOGETHER * self.serving / self._s.gateways))
+        self._near = sorted(usable, key=lambda w: w.rank)[:few] if few < self.serving else usable
+
+    def usual(self, klass: i.RequestClass) -> float:
+        """The usual answer time of a class; its aim's tenth until something is known."""
+        return self._usual.get(klass.name, klass.aim / 10)
+
+    def _stalled(self, now: float, worker: Worker) -> bool:
+        """Whether all that is out at a worker goes unanswered well beyond the usual.
+
+        Guards against hung, pausing, cut off or silently lost workers alike: what it holds is bounded, and
+        anything that returns ends it. What later-sent ones have overtaken doesn't count: the worker lives,
+        and one answer lost on the way would shut it out until the client's deadline. Once in a while it may
+        be tried, ever less the more it swallows. Harm: a lone unusually long request keeps the others away
+        for a while.
+        """
+        behind = [sent for sent in worker.out.values() if sent > worker.latest]
+        if not behind or now - max(behind[0], worker.heard) <= self._patience(worker):
+            return False
+        pause: float = BACKOFF * 2 ** min(len(behind) - 1, 10)
+        return now - behind[-1] < min(LONGEST_BACKOFF, pause)
+
+    def _patience(self, worker: Worker) -> float:
+        """How long a worker's silence is nothing unusual."""
+        return STALL * max(self._usual.values(), default=1.0) * max(1.0, min(2.0, worker.slow))
+
+    def _queued(self, now: float, worker: Worker) -> list[float]:
+        """When what a worker has before it was sent, without what is lost as far as can be told.
+
+        Lost: past its aim, or silent for unusually long though later-sent ones were answered. Guards against
+        answers lost on the way, of whatever cause: each would count as load until its client's deadline.
+        Harm: unusually long requests among short ones count for nothing after a while.
+        """
+        if not worker.out:
+            return []
+        return [sent for key, sent in worker.out.items()
+                if key in self._waiting and not self._gone(now, worker, sent)]
+
+    def _gone(self, now: float, worker: Worker, sent: float) -> bool:
+        """Whether what was sent then is silent for unusually long, though later-sent ones were answered."""
+        return sent <= worker.latest and now - sent > self._patience(worker)
+
+    def _healthy(self, now: float, worker: Worker) -> bool:
+        if worker.fails and (now < worker.until or self._queued(now, worker)):
+            return False  # one trial at a time
+        return not self._stalled(now, worker)
+
+    def _has_room(self, now: float, worker: Worker) -> bool:
+        """The cold guard: a cap on what this gateway has in flight at a worker that started lately.
+
+        In a span of `fall_time` a worker does its capacity x span, so what may be in flight at most is
+        (factor - 1) x capacity x span; each gateway takes its own share of the rate a warm one serves it,
+        or of one core at the briskest answer time known: in a jam the rate served says nothing.
+        """
+        started = worker.entry.started
+        if started is None or now - started >= self._s.ramp_time:
+            return True
+        warm = self._s.cold_from + (1 - self._s.cold_from) * max(0.0, now - started) / self._s.ramp_time
+        self._fade(now)
+        rate = self._done / RECENT / max(1, self.serving)
+        cap = (self._s.overload_factor - 1) * warm * rate * self._s.fall_time
+        alone = (self._s.overload_factor - 1) * warm * self._s.fall_time / self._brisk / self._s.gateways
+        spare = max(SPARE * cap, TOGETHER / self._s.gateways, alone)
+        if spare < 1:  # with many gateways even one each is too much: they take turns by chance
+            pause = self._s.fall_time / spare
+            if worker.turn is None:
+                worker.turn = now + pause * self._random.random()
+            elif worker.turn > now:  # what is left follows the pause: it shortens as the worker warms
+                worker.turn = now + (worker.turn - now) * min(1.0, pause / worker.pause)
+            worker.pause = pause
+            if now < worker.turn:
+                return False
+        while worker.held and worker.held[0] <= now:
+            worker.held.popleft()
+        return len(worker.out) + len(worker.held) < max(1, int(cap))
+
+    def _slow(self, now: float, worker: Worker) -> float:
+        """A worker's answer time over the usual; an old judgement fades, so that it is tried again."""
+        return 1.0 + (worker.slow - 1.0) * math.exp((worker.learned - now) / FORGET)
+
+    def _fade(self, now: float) -> None:
+        self._done *= math.exp((self._done_at - now) / RECENT)
+        self._done_at = now
+
+    def _pool(self, now: float) -> list[Worker]:
+        """The workers to choose from; if most look bad it is overload, the throttle's job: then all."""
+        usable = [w for w in self.workers.values() if w.usable]
+        good = [w for w in usable if self._healthy(now, w)]
+        return good if 2 * len(good) >= len(usable) else usable
+
+    def overdue(self, now: float, room: float) -> bool:
+        """Whether one more would likely miss its aim: then the gateway says the `full` that workers can't.
+
+        Little's law: what is out over the pace of answers is the time a new one takes. The mean age of what
+        is out must be up as well, since a burst on idle workers has much out and no pace yet. Stalled
+        workers are left out, and one each (three for all gateways together) may always be out, so that the
+        pace can't choke itself. The bar is one for all classes (the shortest aim): with its own, the longest
+        aim takes all room.
+        Guards against every overload that time-outs tell of too late: slowing everywhere, lost capacity,
+        floods, retries. Harm: answers that are long by nature look like a backlog where aims are tight.
+        """
+        self._fade(now)
+        if self.few():
+            return self._slow_all_over(now) / (1 + room) > self._random.random()
+        pool = self._pool(now)
+        queued = [self._queued(now, w) for w in pool]
+        out = sum(map(len, queued))
+        if out <= len(pool) * min(1.0, TOGETHER / self._s.gateways):
+            return False
+        age = now - sum(map(sum, queued)) / out
+        return age > OLD_SHARE * self._aim and out > LATE_SHARE * self._aim * self._done / RECENT
+
+    def few(self) -> bool:
+        """Whether too little is out and answered to measure a queue by."""
+        return len(self._waiting) + self._done < ENOUGH
+
+    def _slow_all_over(self, now: float) -> float:
+        """The share to refuse, with too few out for Little's law: what the last answers say, pooled.
+
+        All answers, whatever worker they came from, speak together by the share of their aims that they took,
+        and those still out by their age; some usual ones are mixed in, so that one or two say little. A lost
+        answer counts once, as one that took its aim, if others are slow. Harm: it hears seconds late.
+        """
+        fade = math.exp((self._told_at - now) / SPELL)
+        answered, usual = self._took * fade, PRIOR * self._aim
+        waiting = [(sent, aim) for sent, aim, worker in self._waiting.values()
+                   if not self._gone(now, worker, sent)]
+        ages = sum(now - sent for sent, _ in waiting)
+        lost = 0.0 if self.lossy() else self._lost * fade
+        out = sum(aim for _, aim in waiting)
+        new = self._answers < ENOUGH  # no pace is known yet: what is out tells by its age alone
+        share = (OLD_SHARE * usual + answered + lost + ages) / (
+            usual + self._aims * fade + lost + (out if new else 0.0))
+        crowd = (1 + len(waiting)) / (1 + max(1.0, answered / SPELL))
+        if new or ages < YOUNG_SHARE * out:
+            crowd = min(1.0, crowd)  # much out but all young: a burst on idle workers
+        return (share * crowd - LOW_SHARE) / (HIGH_SHARE - LOW_SHARE)
+
+    def pick(self, now: float, klass: i.RequestClass, tried: set[str], zone: str | None = None,
+             cell: int | None = None) -> str | None:
+        """The worker with the least expected wait, or None.
+
+        A gateway among many meets each worker too seldom to know any, and all at once would agree on the
+        same favourite: so it keeps to a few of its own, drawn by chance, which it meets often (subsetting).
+        """
+        if len(self._near) < self.serving and zone is None and cell is None:
+            good = [w for w in self._near if self._healthy(now, w)]
+            fit = [w for w in (good if 2 * len(good) >= len(self._near) else self._near)
+                   if w.entry.worker not in tried and self._has_room(now, w)]
+            if fit:
+                return self._best(now, klass, fit)
+        fit = [w for w in self._pool(now)
+               if w.entry.worker not in tried and zone in (None, w.entry.zone)
+               and cell in (None, w.entry.cell) and self._has_room(now, w)]
+        return self._best(now, klass, fit) if fit else None
+
+    def _best(self, now: float, klass: i.RequestClass, fit: list[Worker]) -> str:
+        """The worker with the least expected wait.
+
+        To a wait belongs what a lost answer would cost: until it is missed where the request may be repeated,
+        the whole aim where it may not. Guards against ways and workers that lose requests or answers, of
+        whatever cause: what may be repeated goes there first, and all of it where the others are busy. Harm:
+        a few losses by chance make the load uneven for seconds.
+        """
+        once = klass.effect == i.SIDE_EFFECT
+        lost = max(STALL, klass.aim / max(self.usual(klass), 1e-6)) if once else STALL
+        return min(fit, key=lambda w: (self._wait(now, w) + lost * self._loss(now, w, klass)) * (
+            1.0 + 0.1 * self._random.random())).entry.worker
+
+    def _wait(self, now: float, worker: Worker) -> float:
+        """The expected wait at a worker, over the usual answer time."""
+        far = 1.0 if worker.entry.zone == self._s.zone else FAR
+        return self._slow(now, worker) * (1 + len(self._queued(now, worker))) * far
+
+    def _loss(self, now: float, worker: Worker, klass: i.RequestClass) -> float:
+        """The share of a class that a worker leaves unanswered; it fades, so that it is tried again."""
+        loss, at = worker.losses.get(klass.name, (0.0, now))
+        return loss * math.exp((at - now) / FORGET)
+
+    def silent(self, now: float, name: str, klass: i.RequestClass, lost: bool = True) -> None:
+        """An attempt at a worker goes without an answer, or has one.
+
+        Kept by class, since a worker may serve one well and lose another.
+        """
+        worker = self.workers.get(name)
+        if worker is not None and (lost or klass.name in worker.losses):
+            loss = self._loss(now, worker, klass)
+            worker.losses[klass.name] = loss + LEARN * (lost - loss), now
+
+    def sent(self, now: float, name: str, key: tuple[str, int], klass: i.RequestClass) -> None:
+        """An attempt has gone to a worker."""
+        worker = self.workers[name]
+        worker.out[key] = now
+        self._waiting[key] = (now, klass.aim, worker)
+        if worker.turn is not None:
+            worker.turn = now + worker.pause * (0.5 + self._random.random())
+
+    def given_up(self, now: float, key: tuple[str, int]) -> None:
+        """An attempt is past its aim: it has told of its lateness, and may be lost rather than waiting."""
+        if (waited := self._waiting.pop(key, None)) is not None:
+            self._tell(now, 0.0, 0.0, waited[1])
+
+    def _tell(self, now: float, took: float, aim: float, lost: float = 0.0) -> None:
+        fade, self._told_at = math.exp((self._told_at - now) / SPELL), now
+        self._took, self._aims = self._took * fade + took, self._aims * fade + aim
+        self._lost = self._lost * fade + lost
+
+    def lossy(self) -> bool:
+        """Whether silence tells of lost answers, not of load: those that come are brisk and no fewer.
+
+        Guards against control over losses of the network, hung and dying workers. Harm: where part of the
+        fleet is overloaded and the rest is not, silence starts control only by what comes late.
+        """
+        return self._took < LOW_SHARE * self._aims and self._lost <= self._aims
+
+    def overtaken(self, name: str, sent: float) -> bool:
+        """Whether the worker has answered something that was sent to it later."""
+        return (worker := self.workers.get(name)) is not None and sent <= worker.latest
+
+    def loses(self, now: float, name: str, klass: i.RequestClass) -> bool:
+        """Whether a worker goes on losing much of a class where another loses little.
+
+        Its silence then tells of lost answers, not of load. Guards against lossy ways and half-dead workers,
+        whose silence pressed the whole fleet's rate down and took the second chance from what they lost.
+        Harm: a worker that drowns alone is no longer heard by its silence, only by what it answers late or
+        turns away.
+        """
+        if (worker := self.workers.get(name)) is None:
+            return False
+        least = min((self._loss(now, w, klass) for w in self.workers.values() if w.usable), default=0.0)
+        return self._loss(now, worker, klass) > max(LOSSY, LOSSIER * least)
+
+    def returned(self, now: float, name: str, key: tuple[str, int], klass: i.RequestClass,
+                 status: str, took: float) -> None:
+        """An attempt's outcome, whatever became of its request."""
+        self._waiting.pop(key, None)
+        worker = self.workers.get(name)
+        sent = worker.out.pop(key, None) if worker is not None else None
+        if worker is None or sent is None:
+            return
+        if status in (i.TIMED_OUT, i.FULL, i.UNREACHABLE):
+            worker.held.append(now + self._s.fall_time)
+        if status in (i.CANCELLED, i.VOID):
+            return
+        if status in (i.SUCCESS, i.FULL, i.FAILURE, i.SPOILT):
+            worker.heard, worker.latest = now, max(worker.latest, sent)
+            self.silent(now, name, klass, lost=False)
+        elif status == i.BROKEN:
+            self.silent(now, name, klass)
+        if status == i.SUCCESS:
+            self._fade(now)
+            self._done += 1
+            usual = self._usual.setdefault(klass.name, took)
+            self._tell(now, took, klass.aim)
+            worker.slow = self._slow(now, worker)
+            worker.slow += LEARN * (min(10.0, took / max(usual, 1e-6)) - worker.slow)
+            worker.learned, worker.fails = now, 0
+            self._usual[klass.name] = usual + LEARN / 3 * (took - usual)
+            self._answers += 1
+            if self._answers >= ENOUGH:
+                self._brisk = min(self._brisk, max(self._usual.values()))
+        elif status not in (i.FULL, i.SPOILT):  # answers spoilt by chance tell nothing of a worker's health
+            worker.fails += 1
+            sudden = status in (i.UNREACHABLE, i.BROKEN)
+            if sudden or worker.fails >= FAILS:
+                doublings = worker.fails - (1 if sudden else FAILS)
+                worker.until = now + min(LONGEST_BACKOFF, BACKOFF * 2 ** min(doublings, 10))
--- /dev/null
+++ b/micagate/gateway.py
@@ -0,0 +1,279 @@
+"""One gateway: a request meets its quota and ceiling, the choice of a worker, then the leaky bucket.
+
+`Gateway.handle` owns a request's life after that: attempts, their repeats and its one end. Settings, events
+and actions are in `micagate/interface.py`. Pure: no I/O, no clock.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from random import Random
+
+from micagate import interface as i
+from micagate.fleet import STALL, Fleet
+from micagate.quotas import Account, Quotas
+from micagate.throttle import Throttle
+
+RETRY_SHARE, RETRY_DEPTH = 0.2, 10.0  # retry budget: further attempts per first try, and how many it saves up
+ADVICE = 0.2  # of the aim: the longest wait that a refusal advises
+WAITS, ALIKE = 32, 0.02  # latest first tries of a class whose waits are kept; those this near are alike
+
+
+class Attempt:
+    """An attempt until its outcome has come."""
+
+    __slots__ = ("worker", "zone", "cell", "klass", "sent", "status", "signalled", "account", "timers")
+
+    def __init__(self, entry: i.WorkerEntry, klass: i.RequestClass, sent: float, account: Account) -> None:
+        self.worker, self.zone, self.cell = entry.worker, entry.zone, entry.cell
+        self.klass, self.sent, self.account = klass, sent, account
+        self.status, self.signalled = "", False
+        self.timers: list[int] = []
+
+
+class Pending:
+    """A request that is owed its end."""
+
+    __slots__ = ("request", "klass", "account", "deadline", "inside", "attempts", "streaming", "timer")
+
+    def __init__(self, request: i.Request, klass: i.RequestClass, account: Account, deadline: float) -> None:
+        self.request, self.klass, self.account, self.deadline = request, klass, account, deadline
+        self.inside, self.streaming = True, False
+        self.attempts: list[Attempt] = []
+        self.timer = 0
+
+
+class Gateway:
+    """One gateway: `handle` turns an event into actions."""
+
+    def __init__(self, settings: i.Settings, seed: int, now: float) -> None:
+        self._s = settings
+        self._classes = {c.name: c for c in settings.classes}
+        self._plans = {p.name: p for p in settings.plans}
+        self._random = Random(seed)
+        self.throttle = Throttle(now, len(settings.plans))
+        self.quotas = Quotas(now)
+        self.fleet = Fleet(settings, self._random, now)
+        self._pending: dict[str, Pending] = {}
+        self._out: dict[tuple[str, int], Attempt] = {}
+        self._timers: dict[int, tuple[str, str, int]] = {}
+        self._refs = 0
+        # How long clients wait for a first try, lately.
+        self._waits = {c.name: deque[float](maxlen=WAITS) for c in settings.classes}
+        self._budget = RETRY_DEPTH
+        self._subscribed = not settings.must_subscribe
+        self._actions: list[i.Action] = []
+
+    def handle(self, now: float, event: i.Event) -> list[i.Action]:
+        """The actions that an event calls for."""
+        self._actions = []
+        match event:
+            case i.Request():
+                self._request(now, event)
+            case i.Outcome():
+                self._outcome(now, event)
+            case i.TimerFired(ref):
+                self._timer(now, *self._timers.pop(ref, ("", "", 0)))
+            case i.WorkerList():
+                self._list(now, event)
+            case i.StreamStarted(request, number):
+                self._started(now, request, number, event.took)
+            case i.Abandoned(request):
+                self._over(request)
+        return self._actions
+
+    def _list(self, now: float, event: i.WorkerList) -> None:
+        if not event.failed:
+            self.fleet.update(now, event)
+            self.throttle.workers = self.fleet.serving
+        if self._s.must_subscribe and (event.failed or not self._subscribed):
+            self._subscribed = True
+            if event.failed:  # ask again a little later: the list's service may be drowning
+                self._set_timer(1.0 + self._random.random(), "subscribe", "", 0)
+            else:
+                self._actions.append(i.Subscribe())
+
+    def _request(self, now: float, event: i.Request) -> None:
+        klass, plan = self._classes.get(event.klass), self._plans.get(event.plan)
+        if klass is None or plan is None or event.time_left <= self._s.tick:
+            self._actions.append(i.Refuse(event.request, 0.0))
+            return
+        account = self.quotas.account(now, event.customer, plan, event.spread)
+        account.asked += event.units
+        pending = Pending(event, klass, account, now + event.time_left)
+        pending.inside = self.quotas.inside(account, event.units, self.throttle.on)
+        if not event.repeat:
+            self._waits[klass.name].append(event.time_left)
+        self._budget = min(RETRY_DEPTH, self._budget + RETRY_SHARE)
+        # Beyond the quota only where that pays, and never while the back end is pressed.
+        welcome = pending.inside or (plan.beyond_earns > plan.excess_cost and not self.throttle.on)
+        welcome = welcome and not (event.repeat and self._too_late(klass, event.time_left))
+        if not welcome or not self.quotas.allowed(account, event.units, not pending.inside):
+            self._refuse(event.request, klass.aim)
+            return
+        worker = self.fleet.pick(now, klass, set())
+        if worker is not None and not self.throttle.admit(now):
+            worker = None
+        if worker is not None and self.fleet.overdue(now, account.room()):
+            self.throttle.signal(now, worker, plan.name, now)
+            worker = None
+        if worker is None:
+            self._refuse(event.request, klass.aim)
+            return
+        self.quotas.take(account, event.units, pending.inside)
+        self._pending[event.request] = pending
+        self._send(now, pending, worker)
+        pending.timer = self._set_timer(event.time_left - self._s.tick, "deadline", event.request, 0)
+
+    def _too_late(self, klass: i.RequestClass, time_left: float) -> bool:
+        """Whether a later try comes when its aim has surely passed, so that it would spend units for nothing.
+
+        A client waits for each try as long as for its first, until the deadline cuts a try short or, at its
+        last, all that is left: so a wait unlike those of first tries tells when the request began. Guards
+        against taking a usual wait for one that was cut: clients differ, and so does their last try. Harm:
+        none seen while clients of one kind wait alike.
+        """
+        begun = klass.deadline - time_left
+        if klass.late_worth or begun <= klass.aim:
+            return False
+        return all(abs(wait - time_left) > ALIKE * klass.deadline for wait in self._waits[klass.name])
+
+    def _refuse(self, request: str, aim: float) -> None:
+        """Refuse with advice that leaves several tries before the aim: later ones spend units for nothing."""
+        advice = min(self._s.max_retry_advice, ADVICE * aim) * (0.5 + 0.5 * self._random.random())
+        self._actions.append(i.Refuse(request, advice))
+
+    def _send(self, now: float, pending: Pending, worker: str) -> None:
+        name, number, klass = pending.request.request, len(pending.attempts), pending.klass
+        attempt = Attempt(self.fleet.workers[worker].entry, klass, now, pending.account)
+        pending.attempts.append(attempt)
+        pending.account.out += 1
+        self._out[name, number] = attempt
+        self.fleet.sent(now, worker, (name, number), klass)
+        self._actions.append(i.Send(name, worker))
+        attempt.timers.append(self._set_timer(klass.aim, "aim", name, number))
+        hedge = min(STALL * self.fleet.usual(klass), klass.aim / 2)
+        if number + 1 < self._s.max_attempts and klass.effect != i.SIDE_EFFECT:
+            attempt.timers.append(self._set_timer(hedge, "hedge", name, number))
+
+    def _over(self, name: str) -> Pending | None:
+        """Forget a request that has ended, and its timer: callers may drop timers that nothing waits for."""
+        pending = self._pending.pop(name, None)
+        if pending is not None:
+            self._timers.pop(pending.timer, None)
+        return pending
+
+    def _set_timer(self, delay: float, kind: str, name: str, number: int) -> int:
+        self._refs += 1
+        self._timers[self._refs] = (kind, name, number)
+        self._actions.append(i.SetTimer(max(0.0, delay), self._refs))
+        return self._refs
+
+    def _timer(self, now: float, kind: str, name: str, number: int) -> None:
+        attempt, pending = self._out.get((name, number)), self._pending.get(name)
+        if kind == "subscribe":
+            self._actions.append(i.Subscribe())
+        elif kind == "aim" and attempt is not None and not attempt.signalled:
+            attempt.signalled = True
+            self.fleet.given_up(now, (name, number))
+            if attempt.klass.effect == i.SIDE_EFFECT or self.fleet.overtaken(attempt.worker, attempt.sent):
+                self.fleet.silent(now, attempt.worker, attempt.klass)
+            lost = self.fleet.loses(now, attempt.worker, attempt.klass)
+            if not lost and not self.fleet.lossy():
+                self.throttle.signal(now, attempt.worker, attempt.account.plan.name, attempt.sent)
+        elif kind == "deadline" and pending is not None and not pending.streaming:
+            self._end(pending)
+        elif kind == "hedge" and attempt is not None and pending is not None and not pending.streaming:
+            if self.fleet.overtaken(attempt.worker, attempt.sent):  # else it may be a queue or a pause
+                self.fleet.silent(now, attempt.worker, attempt.klass)
+            self._hedge(now, pending, number)
+
+    def _hedge(self, now: float, pending: Pending, number: int) -> None:
+        """A second chance for an attempt that is out well beyond the usual, while the back end isn't pressed.
+
+        Guards against hung, slow, cut off and lost workers, before any time-out tells of them. Harm: work
+        done twice; the retry budget bounds it, and control switches it off but where a worker loses answers.
+        """
+        if self.throttle.on and not self.fleet.loses(now, pending.attempts[number].worker, pending.klass):
+            return
+        if pending.deadline - now < self.fleet.usual(pending.klass):
+            return
+        if self._s.second_copies:
+            self._again(now, pending)
+        elif pending.klass.effect == i.PURE and self._s.can_cancel and self._budget >= 1:
+            self._actions.append(i.Cancel(pending.request.request, number))  # its outcome sends it again
+
+    def _started(self, now: float, name: str, number: int, took: float) -> None:
+        pending, attempt = self._pending.get(name), self._out.get((name, number))
+        if attempt is not None:
+            self._late(now, attempt, took)
+            attempt.signalled = True  # what follows is the stream's length, no sign of load
+        if pending is not None:
+            pending.streaming = True
+
+    def _late(self, now: float, attempt: Attempt, took: float) -> None:
+        if took > attempt.klass.aim and not attempt.signalled:
+            self.throttle.signal(now, attempt.worker, attempt.account.plan.name, attempt.sent)
+
+    def _outcome(self, now: float, event: i.Outcome) -> None:
+        key = (event.request, event.attempt)
+        attempt, pending = self._out.pop(key, None), self._pending.get(event.request)
+        if attempt is None:
+            return  # late or repeated news
+        for ref in attempt.timers:
+            self._timers.pop(ref, None)
+        attempt.status = event.status
+        attempt.account.out -= 1
+        if event.used is not None:
+            attempt.account.metered(now, event.used, self._s.meter_period)
+        self.fleet.returned(now, attempt.worker, key, attempt.klass, event.status, event.took)
+        if event.status in (i.FULL, i.TIMED_OUT):
+            if not attempt.signalled and (event.status == i.FULL or not self.fleet.lossy()):
+                self.throttle.signal(now, attempt.worker, attempt.account.plan.name, attempt.sent)
+        else:
+            self._late(now, attempt, event.took)
+        if pending is None:
+            return
+        if event.status == i.SUCCESS and event.final_units and pending.inside and pending.account.plan.rate:
+            pending.account.store += pending.request.units - event.final_units
+        if event.terminal or event.status == i.SUCCESS:
+            self._over(event.request)
+            if self._s.can_cancel:
+                for number, other in enumerate(pending.attempts):
+                    if not other.status:
+                        self._actions.append(i.Cancel(event.request, number))
+        elif any(not other.status for other in pending.attempts):
+            pass  # another copy is still out
+        elif now >= pending.deadline - self._s.tick or not self._again(now, pending):
+            self._end(pending)
+
+    def _again(self, now: float, pending: Pending) -> bool:
+        """Send a further attempt if effect, group, window, budget and bucket allow."""
+        klass, zone, cell = pending.klass, None, None
+        anchor = next((a for a in pending.attempts if a.status not in i.NEVER_RAN), None)
+        if anchor is not None:
+            if klass.effect == i.SIDE_EFFECT:
+                return False
+            if klass.effect == i.TOKEN:
+                if now > anchor.sent + klass.window - self._s.tick:
+                    return False
+                zone = anchor.zone if klass.group == "zone" else None
+                cell = anchor.cell if klass.group == "cell" else None
+        if len(pending.attempts) >= self._s.max_attempts or self._budget < 1:
+            return False
+        worker = self.fleet.pick(now, klass, {a.worker for a in pending.attempts}, zone, cell)
+        if worker is None or self.fleet.overdue(now, pending.account.room()) or not self.throttle.admit(now):
+            return False
+        self._budget -= 1
+        self._send(now, pending, worker)
+        return True
+
+    def _end(self, pending: Pending) -> None:
+        """The request's own end: a refusal while nothing can have run, else a failure."""
+        name = pending.request.request
+        if self._over(name) is None:
+            return
+        if all(a.status in i.NEVER_RAN for a in pending.attempts):
+            self._refuse(name, pending.klass.aim)
+        else:
+            self._actions.append(i.Fail(name))
--- a/micagate/interface.py
+++ b/micagate/interface.py
@@ -1,4 +1,4 @@
-"""Settings, events and actions of `micagate.control`.
+"""Settings, events and actions of `micagate.gateway`.
 
 All times are seconds as floats on the caller's clock, which only goes forward; its zero means nothing.
 Nothing here decides: the checks below only turn away settings that make no sense.
--- /dev/null
+++ b/micagate/trace.py
@@ -0,0 +1,95 @@
+"""Events and actions of the module as lines of text, so that what it decided can be recorded and repeated.
+
+A trace is one line with the settings and the seed, then a line an event: when, the event, and the actions it
+called for. Floats are written so that they read back exactly. No I/O here: a trace is an iterable of lines.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+from collections.abc import Callable, Iterable, Iterator
+from typing import Any
+
+from micagate import interface as i
+
+_KINDS: dict[str, type[Any]] = {kind.__name__: kind for kind in (
+    i.WorkerEntry, i.WorkerList, i.Request, i.Outcome, i.StreamStarted, i.TimerFired, i.Abandoned, i.Send,
+    i.Refuse, i.Fail, i.Cancel, i.SetTimer, i.Subscribe, i.RequestClass, i.Plan, i.Settings)}
+
+
+class TraceError(ValueError):
+    """A trace that cannot be read; the text names the line, counted from 1."""
+
+
+def pack(value: object) -> Any:
+    """A value of the interface as JSON can hold it; fields that have their default are left out."""
+    if isinstance(value, tuple):
+        return [pack(item) for item in value]
+    if not dataclasses.is_dataclass(value):
+        return value
+    fields = {field.name: pack(getattr(value, field.name)) for field in dataclasses.fields(value)
+              if getattr(value, field.name) != field.default}
+    return {"": type(value).__name__, **fields}
+
+
+def unpack(raw: Any) -> Any:
+    """What `pack` made into JSON; ValueError or TypeError where it is nothing of the interface."""
+    if isinstance(raw, list):
+        return tuple(unpack(item) for item in raw)
+    if not isinstance(raw, dict):
+        return raw
+    kind = _KINDS.get(raw.get("", ""))
+    if kind is None:
+        raise ValueError(f"unknown kind {raw.get('')!r}")
+    return kind(**{name: unpack(value) for name, value in raw.items() if name})
+
+
+class Recorder:
+    """Stands in for a gateway's `handle` and tells `write` each line of its trace."""
+
+    def __init__(self, handle: Callable[[float, i.Event], list[i.Action]], settings: i.Settings, seed: int,
+                 now: float, write: Callable[[str], object]) -> None:
+        self._handle, self._write = handle, write
+        write(json.dumps({"settings": pack(settings), "seed": seed, "now": now}))
+
+    def handle(self, now: float, event: i.Event) -> list[i.Action]:
+        """Handle an event and record it with what it called for."""
+        actions = self._handle(now, event)
+        self._write(json.dumps([now, pack(event), [pack(action) for action in actions]],
+                               separators=(",", ":")))
+        return actions
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Step:
+    """A recorded event: its line, when it came, and the actions that were decided on."""
+
+    line: int
+    now: float
+    event: i.Event
+    actions: list[i.Action]
+
+
+def read(lines: Iterable[str]) -> tuple[i.Settings, int, float, Iterator[Step]]:
+    """Settings, seed and start of a trace, and its steps; TraceError names the line that is wrong."""
+    numbered = enumerate(lines, 1)
+
+    def head() -> tuple[i.Settings, int, float]:
+        for number, line in numbered:
+            try:
+                raw = json.loads(line)
+                return unpack(raw["settings"]), int(raw["seed"]), float(raw["now"])
+            except (ValueError, TypeError, KeyError) as error:
+                raise TraceError(f"line {number}: {error}") from error
+        raise TraceError("line 1: missing")
+
+    def steps() -> Iterator[Step]:
+        for number, line in numbered:
+            try:
+                now, event, actions = json.loads(line)
+                yield Step(number, float(now), unpack(event), [unpack(action) for action in actions])
+            except (ValueError, TypeError, AttributeError) as error:
+                raise TraceError(f"line {number}: {error}") from error
+
+    return *head(), steps()
--- /dev/null
+++ b/oliveloft/backend/__init__.py
@@ -0,0 +1,1 @@
+"""The workers' side: connections to them, and the attempts that go over those."""
--- a/oliveloft/workers.py
+++ b/oliveloft/backend/connections.py
@@ -16,7 +16,7 @@
 import httptools
 
 from micagate import interface as i
-from oliveloft.rest import Rest
+from oliveloft.backend.rest import Rest
 
 log = logging.getLogger("oliveloft")
 
--- /dev/null
+++ b/oliveloft/discovery/__init__.py
@@ -0,0 +1,1 @@
+"""Where workers are and how they stand."""
--- a/oliveloft/discovery.py
+++ b/oliveloft/discovery/watch.py
@@ -11,8 +11,8 @@
 import httptools
 
 from micagate import interface as i
-from oliveloft.config import address
-from oliveloft.workers import Endpoint
+from oliveloft.backend.connections import Endpoint
+from oliveloft.gatekeeper.config import address
 
 log = logging.getLogger("oliveloft")
 
--- /dev/null
+++ b/oliveloft/front/__init__.py
@@ -0,0 +1,1 @@
+"""The clients' side: protocols that requests come in by."""
--- a/oliveloft/server.py
+++ b/oliveloft/front/http.py
@@ -11,8 +11,8 @@
 import httptools
 
 from micagate import interface as i
-from oliveloft.gateway import Bridge, Request
-from oliveloft.workers import HOP_BY_HOP, MAX_BODY, MAX_HEAD
+from oliveloft.backend.connections import HOP_BY_HOP, MAX_BODY, MAX_HEAD
+from oliveloft.gatekeeper.bridge import Bridge, Request
 
 log = logging.getLogger("oliveloft")
 
--- a/oliveloft/gateway.py
+++ b/oliveloft/gatekeeper/bridge.py
@@ -11,9 +11,9 @@
 from collections.abc import Callable
 
 from micagate import interface as i
-from micagate.control import Gateway
-from oliveloft.discovery import News
-from oliveloft.workers import Answer, Attempt, Workers
+from micagate.gateway import Gateway
+from oliveloft.backend.connections import Answer, Attempt, Workers
+from oliveloft.discovery.watch import News
 
 log = logging.getLogger("oliveloft")
 
--- /dev/null
+++ b/oliveloft/gatekeeper/process.py
@@ -0,0 +1,114 @@
+"""One gatekeeper as the platform runs it, from its start to its end on a signal."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import logging
+import os
+import resource
+import signal
+import sys
+import time
+
+import uvloop
+
+from micagate.gateway import Gateway
+from oliveloft.backend.connections import Workers
+from oliveloft.discovery.watch import Discovery, News
+from oliveloft.front.http import Client, Server
+from oliveloft.gatekeeper.bridge import Bridge
+from oliveloft.gatekeeper.config import Config, ConfigError, load
+
+log = logging.getLogger("oliveloft")
+
+STILL_COMING = 0.5  # seconds after SIGTERM in which connections are still taken (the front needs up to 0.4)
+SWEEP = 0.25  # seconds between looks at idle connections, or this share of the workers' idle time-out
+SWEEP_SHARE = 0.1
+RESERVE = 48  # descriptors for all but clients and workers, and for connections on their way out
+CLIENT_SHARE = 0.6  # of the rest; the others are for workers
+KEPT_SHARE = 0.2  # of the descriptors, for clients' connections that may rest: clients hold a third at most
+BACKLOG = 1024
+
+
+async def serve(config: Config) -> int:
+    """Run until a signal; the exit status."""
+    loop = asyncio.get_running_loop()
+    room = max(16, config.sockets - RESERVE)
+    clients = int(room * CLIENT_SHARE)
+    workers = Workers(loop, room - clients, config.connect_timeout, config.idle_close, config.drain_grace)
+    bridge = Bridge(loop, config.settings, Gateway(config.settings, config.seed, loop.time()), workers)
+    kept = int(config.sockets * KEPT_SHARE)
+    server = Server(loop, config.settings, config.units_top, clients, kept, bridge)
+    offset = time.time() - loop.time()  # once: a worker's start must be the same in every list
+
+    def tell(news: News) -> None:
+        bridge.news(news)
+        if len(workers):
+            server.able()
+
+    if config.known is not None:
+        try:
+            known = News({"index": 0, **config.known}, offset)
+            known.whole = True
+            tell(known)
+        except ValueError as error:
+            log.warning("known: %s; starting without", error)
+    stop = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    try:
+        listener = await loop.create_server(lambda: Client(server), *config.listen, backlog=BACKLOG)
+    except OSError as error:
+        raise ConfigError(f"listen: {error.strerror or error}") from error
+    discovery = Discovery(loop, config.discovery, offset, tell)
+    discovery.start()
+
+    def reload() -> None:
+        """Read the file again: discovery may have moved; the rest is read at the start only."""
+        try:
+            again = load(os.environ)
+        except ConfigError as error:
+            log.warning("reload: %s; all stays as it was", error)
+            return
+        log.info("reloaded: discovery at %s:%d", *again.discovery)
+        discovery.move(again.discovery)
+
+    loop.add_signal_handler(signal.SIGHUP, reload)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
+    gc.collect()
+    gc.freeze()
+    log.info("%s listens at %s:%d", config.name, *listener.sockets[0].getsockname()[:2])
+
+    def sweep() -> None:
+        workers.sweep()
+        server.sweep()
+        loop.call_later(pause, sweep)
+
+    pause = max(0.02, min(SWEEP, SWEEP_SHARE * config.idle_close))
+    loop.call_later(pause, sweep)
+    await stop.wait()
+    log.info("stopping")
+    server.retire()
+    await asyncio.sleep(STILL_COMING)
+    listener.close()
+    await server.finish(max(c.deadline for c in config.settings.classes) + 0.2)
+    discovery.stop()
+    return 0
+
+
+def main() -> int:
+    """Read the configuration and serve."""
+    logging.basicConfig(level=logging.INFO, format="%(levelname)s %(message)s", stream=sys.stderr)
+    # Guards against a reload that comes before it can be carried out: it waits, and neither ends the process
+    # nor is forgotten.
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+    try:
+        config = load(os.environ)
+        _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (config.sockets, hard))  # never more than was granted
+        return uvloop.run(serve(config))
+    except ConfigError as error:
+        print(f"oliveloft: {error}", file=sys.stderr)
+        return 2
+
--- a/tests/drive.py
+++ b/rig/driver.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from micagate import interface as i
-from micagate.control import Gateway
+from micagate.gateway import Gateway
 
 SETTINGS: dict[str, Any] = {
     "classes": (
--- /dev/null
+++ b/rig/fleet.py
@@ -0,0 +1,169 @@
+"""Decisions against modelled workers in simulated time: one gateway or several, the same for each seed."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+
+from micagate import interface as i
+from rig.capacity import Capacity, Load
+from rig.simulation import Clock
+
+Handle = Callable[[float, i.Event], list[i.Action]]
+
+
+@dataclass(slots=True)
+class Place:
+    """A worker of the fleet: its model, where it stands, and what befalls the way to it."""
+
+    load: Load
+    zone: str = "a"
+    lost: float = 0.0  # share of the answers that get lost on the way back
+    hung: bool = False  # takes requests and never answers
+    dead: bool = False  # connections are refused
+    up: bool = True
+
+
+@dataclass(slots=True)
+class Tally:
+    """How requests ended."""
+
+    asked: int = 0
+    ends: Counter[str] = field(default_factory=Counter)
+
+
+class Fleet:
+    """Workers, and one entrance for each gateway's `handle`.
+
+    A gateway's events come through `Entrance.hand`; sends are served by the modelled workers, timers and
+    deadlines fire, and each attempt has one outcome.
+    """
+
+    def __init__(self, clock: Clock, random: Random, capacities: dict[str, Capacity],
+                 zones: str = "abc", way: float = 0.0005, work_cv: float = 0.5) -> None:
+        self.clock, self.random, self.way, self.work_cv = clock, random, way, work_cv
+        self.places = {name: Place(Load(capacity), zones[n % len(zones)])
+                       for n, (name, capacity) in enumerate(sorted(capacities.items()))}
+        self.entrances: list[Entrance] = []
+
+    def entry(self, name: str) -> i.WorkerEntry:
+        """A worker's line of the list."""
+        place = self.places[name]
+        return i.WorkerEntry(name, zone=place.zone, cell=sorted(self.places).index(name) // 2,
+                             state=i.HEALTHY if place.up else i.DRAINING, started=place.load.started)
+
+    def tell(self, *names: str, whole: bool = False) -> None:
+        """All gateways hear of these workers."""
+        news = i.WorkerList(tuple(self.entry(name) for name in names or self.places), whole=whole)
+        for entrance in self.entrances:
+            entrance.hand(news, "")
+
+    def restart(self, name: str, capacity: Capacity | None = None) -> None:
+        """A worker is replaced by a cold one; what it held is lost without an answer."""
+        place = self.places[name]
+        place.load = Load(capacity or place.load.capacity, started=self.clock.now)
+        self.tell(name)
+
+
+class Entrance:
+    """One gateway's way to the fleet."""
+
+    def __init__(self, fleet: Fleet, handle: Handle, settings: i.Settings, name: str = "g") -> None:
+        self.fleet, self.handle, self.settings, self.name = fleet, handle, settings, name
+        self.tally = Tally()
+        self.served: dict[tuple[str, str], float] = {}  # units served in their aim, by customer and plan
+        self._asked: dict[str, tuple[i.Request, float]] = {}  # open: the request and its deadline
+        self._attempts: dict[str, list[str]] = {}  # by request: each attempt's worker while it is out, or ""
+        self._made = 0
+        self.used: Callable[[str], float | None] = lambda customer: None  # what the meter says
+        fleet.entrances.append(self)
+
+    def ask(self, klass: str, plan: str, customer: str, units: float = 1.0, spread: int = 1,
+            time_left: float | None = None) -> None:
+        """A client's try."""
+        self._made += 1
+        self.tally.asked += 1
+        kind = next(c for c in self.settings.classes if c.name == klass)
+        left = kind.deadline if time_left is None else time_left
+        request = i.Request(f"{self.name}-{self._made}", klass, plan, customer, left, units, spread)
+        self._asked[request.request] = request, self.fleet.clock.now + left
+        self.fleet.clock.after(left, self._expired, request.request)
+        self.hand(request, request.request)
+
+    def hand(self, event: i.Event, about: str) -> None:
+        """Let the gateway handle an event, and carry out what it decides."""
+        clock = self.fleet.clock
+        for action in self.handle(clock.now, event):
+            match action:
+                case i.SetTimer(delay, ref):
+                    clock.after(delay, self.hand, i.TimerFired(ref), about)
+                case i.Send(name, worker):
+                    self._send(name, worker)
+                case i.Refuse(name):
+                    self._end(name, "refused")
+                case i.Fail(name):
+                    self._end(name, "failed")
+                case i.Cancel(name, number):
+                    clock.after(0.0, self._outcome, name, number, i.CANCELLED, 0.0)
+                case i.Subscribe():
+                    pass
+
+    def _send(self, name: str, worker: str) -> None:
+        fleet, now = self.fleet, self.fleet.clock.now
+        attempts = self._attempts.setdefault(name, [])
+        number = len(attempts)
+        attempts.append(worker)
+        if name not in self._asked:
+            fleet.clock.after(0.0, self._outcome, name, number, i.VOID, now)
+            return
+        place = fleet.places[worker]
+        if place.dead:
+            fleet.clock.after(fleet.way, self._outcome, name, number, i.UNREACHABLE, now)
+            return
+        request, deadline = self._asked[name]
+        work = fleet.random.gammavariate(1 / fleet.work_cv ** 2, fleet.work_cv ** 2) * 0.02 * request.units
+        done = place.load.arrive(now + fleet.way, work)
+        if done is None:
+            fleet.clock.after(2 * fleet.way, self._outcome, name, number, i.FULL, now)
+        elif not place.hung and fleet.random.random() >= place.lost:
+            fleet.clock.at(done + fleet.way, self._answered, name, number, now, place.load)
+        fleet.clock.at(deadline, self._outcome, name, number, i.TIMED_OUT, now)
+
+    def _answered(self, name: str, number: int, sent: float, load: Load) -> None:
+        attempts = self._attempts.get(name)
+        if attempts is None or not attempts[number]:
+            return
+        if self.fleet.places[attempts[number]].load is load:  # else it was restarted meanwhile
+            self._outcome(name, number, i.SUCCESS, sent)
+
+    def _outcome(self, name: str, number: int, status: str, sent: float) -> None:
+        attempts = self._attempts.get(name)
+        if attempts is None or not attempts[number]:
+            return  # it has had its outcome
+        worker, attempts[number] = attempts[number], ""
+        now, used = self.fleet.clock.now, None
+        open_request = self._asked.get(name)
+        if open_request is not None and status == i.SUCCESS:
+            request = open_request[0]
+            klass = next(c for c in self.settings.classes if c.name == request.klass)
+            in_aim = now <= open_request[1] - klass.deadline + klass.aim
+            self._end(name, "served" if in_aim else "late")
+            if in_aim:
+                key = request.customer, request.plan
+                self.served[key] = self.served.get(key, 0.0) + request.units
+            used = self.used(request.customer)
+        ended = name not in self._asked
+        if ended and not any(attempts):
+            del self._attempts[name]
+        self.hand(i.Outcome(name, number, worker, status, ended, now - sent, used), name)
+
+    def _end(self, name: str, how: str) -> None:
+        if self._asked.pop(name, None) is not None:
+            self.tally.ends[how] += 1
+
+    def _expired(self, name: str) -> None:
+        if name in self._asked:
+            self._end(name, "lost")
+            self.hand(i.Abandoned(name), name)
--- a/tests/stand.py
+++ b/rig/scripted.py
@@ -309,7 +309,7 @@
     file.write_text(configuration if isinstance(configuration, str) else json.dumps(configuration))
     process = await asyncio.create_subprocess_exec(
         sys.executable, "-m", "oliveloft", env={**os.environ, "PROXY_CONFIG": str(file)},
-        cwd=Path(__file__).parent.parent, stderr=asyncio.subprocess.PIPE)
+        cwd=Path(__file__).parents[1], stderr=asyncio.subprocess.PIPE)
     gatekeeper = Gatekeeper(process, file)
     # It has read its file once it has told of its port or has ended.
     waiting = [asyncio.create_task(gatekeeper.listening()), asyncio.create_task(process.wait())]
--- a/tests/test_connections.py
+++ b/tests/backend/test_connections.py
@@ -2,9 +2,8 @@
 
 import asyncio
 
-from stand import Client, Worker, answer, reset, run, scene, until
-
-from oliveloft.rest import Rest
+from oliveloft.backend.rest import Rest
+from rig.scripted import Client, Worker, answer, reset, run, scene, until
 
 
 def held() -> tuple[asyncio.Event, object]:
--- a/tests/test_losses.py
+++ b/tests/backend/test_losses.py
@@ -3,10 +3,9 @@
 import asyncio
 from collections import Counter
 
-from drive import Driver, sends
-from stand import Message, Worker, answer, hang, run, scene, until
-
 from micagate import interface as i
+from rig.driver import Driver, sends
+from rig.scripted import Message, Worker, answer, hang, run, scene, until
 
 
 async def loses_writes(request: Message, writer: asyncio.StreamWriter) -> None:
--- a/tests/test_outcomes.py
+++ b/tests/backend/test_outcomes.py
@@ -4,7 +4,8 @@
 import socket
 
 import pytest
-from stand import Message, Script, Worker, answer, hang, reset, run, scene, until
+
+from rig.scripted import Message, Script, Worker, answer, hang, reset, run, scene, until
 
 NOT_RUN = "X-Not-Processed: 1\r\n"
 SEEN = {
--- a/tests/test_fleet.py
+++ b/tests/decisions/test_fleet.py
@@ -2,9 +2,8 @@
 
 from collections import Counter
 
-from drive import Driver, sends, workers
-
 from micagate import interface as i
+from rig.driver import Driver, sends, workers
 
 
 def serve(d: Driver, count: int, took: float = 0.1, slow: dict[str, float] | None = None) -> Counter[str]:
--- a/tests/test_properties.py
+++ b/tests/decisions/test_properties.py
@@ -2,11 +2,11 @@
 
 from typing import Any
 
-from drive import Driver
 from hypothesis import given
 from hypothesis import strategies as st
 
 from micagate import interface as i
+from rig.driver import Driver
 
 STATUSES = [i.SUCCESS, i.FAILURE, i.FULL, i.TIMED_OUT, i.UNREACHABLE, i.BROKEN]
 STEPS = st.lists(st.tuples(
--- a/tests/test_quotas.py
+++ b/tests/decisions/test_quotas.py
@@ -1,9 +1,8 @@
 """Slices, stores, ceilings and at-once caps."""
 
-from drive import Driver, sends
-
 from micagate import interface as i
-from micagate.control import IDLE, Quotas
+from micagate.quotas import IDLE, Quotas
+from rig.driver import Driver, sends
 
 PLAN = i.Plan("metered", rate=3.0, burst=12.0)
 
--- a/tests/test_rules.py
+++ b/tests/decisions/test_rules.py
@@ -1,8 +1,7 @@
 """The five rules, each on the module alone."""
 
-from drive import Driver, sends, workers
-
 from micagate import interface as i
+from rig.driver import Driver, sends, workers
 
 
 def test_nothing_lost_at_the_deadline():
--- a/tests/test_streams.py
+++ b/tests/decisions/test_streams.py
@@ -1,8 +1,7 @@
 """Streamed answers."""
 
-from drive import SETTINGS, Driver, sends
-
 from micagate import interface as i
+from rig.driver import SETTINGS, Driver, sends
 
 STREAM = i.RequestClass("stream", aim=1.0, deadline=4.0, streaming=True)
 
--- a/tests/test_discovery.py
+++ b/tests/discovery/test_discovery.py
@@ -2,10 +2,9 @@
 
 import asyncio
 
-from stand import Discovery, Worker, config, launch, run, scene, until
-
-from oliveloft import discovery as module
-from oliveloft.discovery import News
+from oliveloft.discovery import watch as module
+from oliveloft.discovery.watch import News
+from rig.scripted import Discovery, Worker, config, launch, run, scene, until
 
 
 def test_it_starts_from_what_it_knew_while_discovery_is_down():
--- a/tests/test_clients.py
+++ b/tests/front/test_clients.py
@@ -3,7 +3,8 @@
 import asyncio
 
 import pytest
-from stand import Client, Worker, answer, hang, run, scene, until
+
+from rig.scripted import Client, Worker, answer, hang, run, scene, until
 
 CHUNKED = Client.request("write").replace(b"Content-Length: 0\r\n", b"Transfer-Encoding: chunked\r\n")
 BAD = {
--- a/tests/test_bridge.py
+++ b/tests/gatekeeper/test_bridge.py
@@ -5,12 +5,12 @@
 from collections.abc import Callable
 
 import pytest
-from stand import Worker, answer, hang, run, until
 
 from micagate import interface as i
-from oliveloft.discovery import News
-from oliveloft.gateway import Bridge, Request
-from oliveloft.workers import Connection, Workers
+from oliveloft.backend.connections import Connection, Workers
+from oliveloft.discovery.watch import News
+from oliveloft.gatekeeper.bridge import Bridge, Request
+from rig.scripted import Worker, answer, hang, run, until
 
 SETTINGS = i.Settings((i.RequestClass("write", 1.0, 4.0, i.SIDE_EFFECT),), (i.Plan("free"),), max_attempts=2)
 
--- a/tests/test_memory.py
+++ b/tests/gatekeeper/test_memory.py
@@ -5,15 +5,15 @@
 import types
 
 import pytest
-from drive import Driver, sends
-from stand import Client as Peer
-from stand import Worker, run, scene, until
 
 from micagate import interface as i
-from oliveloft.discovery import Link
-from oliveloft.rest import Rest
-from oliveloft.server import SLOW, Client
-from oliveloft.workers import Connection, Process
+from oliveloft.backend.connections import Connection, Process
+from oliveloft.backend.rest import Rest
+from oliveloft.discovery.watch import Link
+from oliveloft.front.http import SLOW, Client
+from rig.driver import Driver, sends
+from rig.scripted import Client as Peer
+from rig.scripted import Worker, run, scene, until
 
 
 class Transport(asyncio.Transport):
--- a/tests/test_process.py
+++ b/tests/gatekeeper/test_process.py
@@ -7,7 +7,8 @@
 import signal
 
 import pytest
-from stand import Client, Discovery, Worker, answer, config, hang, launch, run, scene, until
+
+from rig.scripted import Client, Discovery, Worker, answer, config, hang, launch, run, scene, until
 
 
 def without(key, **changes):
--- /dev/null
+++ b/tests/rig/test_demo.py
@@ -0,0 +1,77 @@
+"""The demo as a newcomer runs it, and the modelled workers and clients that it is made of."""
+
+import asyncio
+import re
+import signal
+import sys
+from pathlib import Path
+
+import pytest
+
+from oliveloft import cli
+from rig.capacity import Capacity
+from rig.modelled import Meter, ModelledWorker, Record
+from rig.scripted import run
+from rig.traffic import Customer, PlanShape, Traffic
+
+ROOT = Path(__file__).parents[2]
+
+
+def test_the_demo_serves_real_requests_until_it_is_told_to_end():
+    async def scenario():
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "oliveloft", "demo", "--rate", "60", "--gatekeepers", "2", cwd=ROOT,
+            stdout=asyncio.subprocess.PIPE)
+        lines = []
+        while sum(bool(re.match(r" +\d", line)) for line in lines) < 2:
+            lines.append((await process.stdout.readline()).decode())
+        process.send_signal(signal.SIGINT)
+        rest = (await process.stdout.read()).decode()
+        assert await process.wait() == 0
+        served, refused, failed = (int(re.search(rf"(\d+) {how}", rest.splitlines()[-1])[1])
+                                   for how in ("served", "refused", "failed"))
+        assert served > 20 and refused >= 0 and failed == 0
+        assert any("curl" in line for line in lines)
+    run(scenario())
+
+
+@pytest.mark.parametrize(("words", "why"), [
+    (["demo", "--rate", "0"], "--rate: must be above 0"), (["demo", "--workers", "x"], "no whole number"),
+    (["demo", "--gatekeepers", "0"], "at least 1"), (["nonsense"], "invalid choice"), ([], "required")])
+def test_wrong_words_are_named_and_exit_with_2(words, why, capsys):
+    with pytest.raises(SystemExit) as ended:
+        cli.main(words)
+    assert ended.value.code == 2 and why in capsys.readouterr().err
+
+
+def test_clients_keep_account_of_what_was_inside_a_quota():
+    async def scenario():
+        record = Record()
+        meter = Meter({"free": 10.0})
+        worker = await ModelledWorker("w", Capacity(1, 2), 0.002, meter=meter, record=record).start()
+        asked = Customer("00000000000000aa", "free", lambda at: 60.0, lambda at: 0, top=60.0)
+        load = Traffic([worker.port], [asked], {"free": PlanShape(10.0, 5.0)}, seed=3)
+        report = await load.run(2.0)
+        worker.stop()
+        ends = sum(report.ends.values())
+        assert ends > 70 and report.ends["served"] == sum(record.begun.values())
+        assert report.ends["served"] + report.ends["refused"] == ends  # a bare worker, full now and then
+        assert 20 <= report.asked_inside <= 26  # a burst of 5 and 2 s at 10
+        assert 0.8 < report.share <= 1.0
+        assert max(record.begun.values()) == 1
+    run(scenario())
+
+
+def test_a_frozen_worker_says_nothing_and_a_stopped_one_refuses():
+    async def scenario():
+        worker = await ModelledWorker("w", Capacity(), 0.001).start()
+        worker.frozen = True
+        one = Customer("00000000000000aa", "free", lambda at: 30.0, lambda at: 0, top=30.0)
+        load = Traffic([worker.port], [one], {"free": PlanShape(0.0, 0.0)}, seed=3, timeout=0.3)
+        report = await load.run(0.3)
+        assert report.ends["failed"] == sum(report.ends.values()) > 0
+        worker.stop()
+        load = Traffic([worker.port], [one], {"free": PlanShape(0.0, 0.0)}, seed=3, timeout=0.3)
+        report = await load.run(0.3)
+        assert report.ends["failed"] == sum(report.ends.values()) > 0
+    run(scenario())
