--- /dev/null
+++ b/micagate/planning/messages.py
@@ -0,0 +1,121 @@
+"""What forwarders and planners tell each other of one shard; amounts are shares of the whole, from 0 to 1.
+
+Both sides number their messages from 1 within a session, list only what changed, and renew all else by
+sending at all. A message out of its order ends the session, and a new one begins with the whole state.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+
+LONGEST_KEY = 256
+TINY = 1e-9  # differences of amounts below this are none
+
+
+@dataclass(frozen=True, slots=True)
+class Need:
+    """A forwarder's need of a thing that the forwarders `first`, `first` + 1, ... share, `count` of them."""
+
+    key: str
+    first: int
+    count: int
+    need: float
+
+
+@dataclass(frozen=True, slots=True)
+class Amount:
+    """So much of a thing: lent, or granted."""
+
+    key: str
+    amount: float
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """How much of its part of a thing the planner would have a forwarder lend; less than before frees it."""
+
+    key: str
+    count: int
+    amount: float
+
+
+@dataclass(frozen=True, slots=True)
+class Report:
+    """A forwarder's message: `ack` is the number of the latest word it has, `echo` that word's stamp."""
+
+    shard: int
+    epoch: int
+    session: int
+    number: int
+    ack: int
+    echo: float
+    needs: tuple[Need, ...] = ()
+    lends: tuple[Amount, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Word:
+    """A planner's message: `answers` is the number of the latest report it has, `stamp` its clock's
+    reading."""
+
+    shard: int
+    epoch: int
+    session: int
+    number: int
+    answers: int
+    stamp: float
+    calls: tuple[Call, ...] = ()
+    grants: tuple[Amount, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Again:
+    """A planner's message: this session has a gap or is unknown; begin a new one."""
+
+    shard: int
+    session: int
+
+
+class Malformed(ValueError):
+    """A message that makes no sense; the text names the field."""
+
+
+def _share(name: str, value: float) -> None:
+    if not (isinstance(value, int | float) and math.isfinite(value) and 0.0 <= value <= 1.0):
+        raise Malformed(f"{name}: must be from 0 to 1, not {value!r}")
+
+
+def _key(name: str, key: str) -> None:
+    if not 0 < len(key) <= LONGEST_KEY:
+        raise Malformed(f"{name}: must have 1 to {LONGEST_KEY} characters, not {len(key)}")
+
+
+def check(message: Report | Word, forwarders: int, entries: int) -> None:
+    """Raise `Malformed` where a message is absurd: a liar's or a broken peer's.
+
+    A need beyond the whole is no lie but a flood: the sender cuts it to 1 itself.
+    """
+    for name in ("shard", "epoch", "number"):
+        if getattr(message, name) < 0:
+            raise Malformed(f"{name}: must be at least 0, not {getattr(message, name)}")
+    lists = (message.needs, message.lends) if isinstance(message, Report) else (message.calls, message.grants)
+    if sum(map(len, lists)) > entries:
+        raise Malformed(f"entries: at most {entries}, not {sum(map(len, lists))}")
+    if not math.isfinite(message.echo if isinstance(message, Report) else message.stamp):
+        raise Malformed("stamp: must be finite")
+    if isinstance(message, Report):
+        for need in message.needs:
+            _key("needs.key", need.key)
+            _share("needs.need", need.need)
+            if not (1 <= need.count <= forwarders and 0 <= need.first < forwarders):
+                raise Malformed(f"needs.count: no {need.count} from {need.first} of {forwarders} forwarders")
+    else:
+        for call in message.calls:
+            _key("calls.key", call.key)
+            _share("calls.amount", call.amount)
+            if not 1 <= call.count <= forwarders:
+                raise Malformed(f"calls.count: no {call.count} among {forwarders} forwarders")
+    for amount in message.lends if isinstance(message, Report) else message.grants:
+        _key("amount.key", amount.key)
+        _share("amount.amount", amount.amount)
