Shares reach the decisions as an event: quota, ceiling, at-once cap and cold workers follow them

Need: what planners move between gateways must act where requests are decided on, and end by itself. Change: micagate/shares.py keeps what is lent and borrowed by session and looks at both ends at each use; accounts divide their plan by it, and the cold guard its turns. A Survey event is answered with what was asked of each thing, of which planning/demand.py makes needs. Requests carry the first gateway of their customer's set. Tried and dropped: letting a borrowed share raise a cold worker's cap by the own pace (a busy gateway would have been let 19 times its cap).

--- a/micagate/fleet.py
+++ b/micagate/fleet.py
@@ -7,6 +7,7 @@
 from random import Random
 
 from micagate import interface as i
+from micagate.shares import Shares, worker_key
 
 # All ours, since the design leaves the choice of a worker open.
 LEARN = 0.15  # weight of a new answer in what was learned
@@ -52,8 +53,8 @@
 class Fleet:
     """The list of workers, their health, the cold guard and the choice of one."""
 
-    def __init__(self, settings: i.Settings, random: Random, now: float) -> None:
-        self._s, self._random = settings, random
+    def __init__(self, settings: i.Settings, random: Random, now: float, shares: Shares) -> None:
+        self._s, self._random, self._shares = settings, random, shares
         self.workers: dict[str, Worker] = {}
         self._usual: dict[str, float] = {}
         self._done, self._done_at = 0.0, now
@@ -64,6 +65,7 @@
         self.serving = 0
         self._brisk = math.inf  # the shortest usual answer time so far, of the class that takes longest
         self._answers = 0
+        self._surveyed_at = now
         self._near: list[Worker] = []  # the own few of the usable ones
         self._aim = min(c.aim for c in settings.classes)
 
@@ -146,12 +148,19 @@
         started = worker.entry.started
         if started is None or now - started >= self._s.ramp_time:
             return True
-        warm = self._s.cold_from + (1 - self._s.cold_from) * max(0.0, now - started) / self._s.ramp_time
+        warm = self._warmth(now, started)
         self._fade(now)
+        over: float = self._s.gateways
+        if self._shares:
+            over = self._shares.over(now, worker_key(worker.entry.worker), over)
         rate = self._done / RECENT / max(1, self.serving)
         cap = (self._s.overload_factor - 1) * warm * rate * self._s.fall_time
-        alone = (self._s.overload_factor - 1) * warm * self._s.fall_time / self._brisk / self._s.gateways
-        spare = max(SPARE * cap, TOGETHER / self._s.gateways, alone)
+        alone = (self._s.overload_factor - 1) * warm * self._s.fall_time / self._brisk / over
+        if over > self._s.gateways:
+            cap *= self._s.gateways / over  # lent; what is borrowed only shortens the turns
+        spare = max(SPARE * cap, TOGETHER / over, alone)
+        if spare <= 0:
+            return False  # all of it is lent
         if spare < 1:  # with many gateways even one each is too much: they take turns by chance
             pause = self._s.fall_time / spare
             if worker.turn is None:
@@ -165,6 +174,26 @@
             worker.held.popleft()
         return len(worker.out) + len(worker.held) < max(1, int(cap))
 
+    def _warmth(self, now: float, started: float) -> float:
+        """The share of its capacity that a worker has which started so lately."""
+        return self._s.cold_from + (1 - self._s.cold_from) * max(0.0, now - started) / self._s.ramp_time
+
+    def survey(self, now: float) -> list[i.Tally]:
+        """What this gateway would send to each cold worker, were it warm, and what one core of it can do."""
+        passed, self._surveyed_at = now - self._surveyed_at, now
+        if self._brisk == math.inf or passed <= 0:
+            return []
+        self._fade(now)
+        pace = self._done / RECENT / max(1, self.serving)
+        tallies = []
+        for name, worker in self.workers.items():
+            started = worker.entry.started
+            if worker.usable and started is not None and now - started < self._s.ramp_time:
+                warm = self._warmth(now, started)
+                tallies.append(i.Tally(worker_key(name), 0, self._s.gateways, pace * passed, 0.0,
+                                       warm / self._brisk, 0.0, 0.0))
+        return tallies
+
     def _slow(self, now: float, worker: Worker) -> float:
         """A worker's answer time over the usual; an old judgement fades, so that it is tried again."""
         return 1.0 + (worker.slow - 1.0) * math.exp((worker.learned - now) / FORGET)
--- a/micagate/gateway.py
+++ b/micagate/gateway.py
@@ -12,6 +12,7 @@
 from micagate import interface as i
 from micagate.fleet import STALL, Fleet
 from micagate.quotas import Account, Quotas
+from micagate.shares import Shares
 from micagate.throttle import Throttle
 
 RETRY_SHARE, RETRY_DEPTH = 0.2, 10.0  # retry budget: further attempts per first try, and how many it saves up
@@ -52,8 +53,9 @@
         self._plans = {p.name: p for p in settings.plans}
         self._random = Random(seed)
         self.throttle = Throttle(now, len(settings.plans))
-        self.quotas = Quotas(now)
-        self.fleet = Fleet(settings, self._random, now)
+        shares = Shares()
+        self.quotas = Quotas(now, shares)
+        self.fleet = Fleet(settings, self._random, now, shares)
         self._pending: dict[str, Pending] = {}
         self._out: dict[tuple[str, int], Attempt] = {}
         self._timers: dict[int, tuple[str, str, int]] = {}
@@ -80,6 +82,10 @@
                 self._started(now, request, number, event.took)
             case i.Abandoned(request):
                 self._over(request)
+            case i.Shares():
+                self.quotas.shared(now, event)
+            case i.Survey():
+                self._actions.append(i.Tallies((*self.quotas.survey(), *self.fleet.survey(now))))
         return self._actions
 
     def _list(self, now: float, event: i.WorkerList) -> None:
@@ -99,7 +105,7 @@
             self._actions.append(i.Refuse(event.request, 0.0))
             return
         account = self.quotas.account(now, event.customer, plan, event.spread)
-        account.asked += event.units
+        self.quotas.count(account, event)
         pending = Pending(event, klass, account, now + event.time_left)
         pending.inside = self.quotas.inside(account, event.units, self.throttle.on)
         if not event.repeat:
--- a/micagate/interface.py
+++ b/micagate/interface.py
@@ -123,7 +123,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Request:
-    """A client's try. `spread` gateways may see this customer's requests."""
+    """A client's try. `spread` gateways in a row may see this customer's requests."""
 
     request: str
     klass: str
@@ -133,10 +133,11 @@
     units: float = 1.0
     spread: int = 1
     repeat: bool = False
+    first: int = 0  # the number of the first gateway that may see them; the others follow it, counted round
 
     def __post_init__(self) -> None:
         _check(self, 1, ("spread",))
-        _check(self, 0.0, ("units",))
+        _check(self, 0.0, ("units", "first"))
 
 
 @dataclass(frozen=True, slots=True)
@@ -226,6 +227,62 @@
     """Ask for news of the workers."""
 
 
-Event = WorkerList | Request | Outcome | StreamStarted | TimerFired | Abandoned
-Action = Send | Refuse | Fail | Cancel | SetTimer | Subscribe
+@dataclass(frozen=True, slots=True)
+class Share:
+    """Of the thing `key`, so much of this gateway's part is lent, and so much is borrowed; 1 is the whole."""
+
+    key: str
+    lent: float = 0.0
+    borrowed: float = 0.0
+
+    def __post_init__(self) -> None:
+        _check(self, 0.0, ("lent", "borrowed"))
+
+
+@dataclass(frozen=True, slots=True)
+class Shares:
+    """A session with a planner: the ends of all it lent and borrowed, and what of that has changed.
+
+    `over` says that both ends are past: it may be forgotten.
+    """
+
+    session: int
+    lent_until: float
+    borrowed_until: float
+    changes: tuple[Share, ...] = ()
+    over: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Survey:
+    """Asks for a `Tallies`; the first one begins the counting."""
+
+
+@dataclass(frozen=True, slots=True)
+class Tally:
+    """What was asked of a thing since the last survey: units, the most out at once, and by which set.
+
+    `whole` is what one second may take of the whole thing, `burst` what may come at once, `open` the limit on
+    what is out at once; 0 where there is none.
+    """
+
+    key: str
+    first: int
+    count: int
+    asked: float
+    most: float
+    whole: float
+    burst: float
+    open: float
+
+
+@dataclass(frozen=True, slots=True)
+class Tallies:
+    """The answer to a `Survey`: the things that anything was asked of since the last one."""
+
+    tallies: tuple[Tally, ...]
+
+
+Event = WorkerList | Request | Outcome | StreamStarted | TimerFired | Abandoned | Shares | Survey
+Action = Send | Refuse | Fail | Cancel | SetTimer | Subscribe | Tallies
 
--- /dev/null
+++ b/micagate/planning/demand.py
@@ -0,0 +1,71 @@
+"""What share of a thing a forwarder needs, from what it was asked of it: quick to rise, slow to fall."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable, Iterator
+
+from micagate.interface import Tally
+from micagate.planning.holder import GONE, Demand
+
+RISE, FALL = 0.4, 2.0  # seconds over which a rate is averaged: short while it rises, long while it falls
+HEADROOM = 1.25  # of a need over the average rate: arrivals come by chance
+SPAN = 1.0  # seconds over which what came at once is held against the burst
+
+
+class _Seen:
+    __slots__ = ("first", "count", "rate", "peak", "at", "whole", "burst", "open", "most")
+
+    def __init__(self, tally: Tally, now: float) -> None:
+        self.first, self.count = tally.first, tally.count
+        self.rate = self.peak = self.most = 0.0
+        self.whole, self.burst, self.open = tally.whole, tally.burst, tally.open
+        self.at = now
+
+
+class Demands:
+    """Turns tallies into needs; things that nothing is asked of fade out by themselves."""
+
+    def __init__(self, now: float) -> None:
+        self._seen: dict[str, _Seen] = {}
+        self._at = now
+
+    def __len__(self) -> int:
+        return len(self._seen)
+
+    def survey(self, now: float, tallies: Iterable[Tally]) -> list[Demand]:
+        """Take in the tallies of the time since the last survey; the needs of all that is known."""
+        passed = max(1e-3, now - self._at)
+        self._at = now
+        rise, fall = -math.expm1(-passed / RISE), -math.expm1(-passed / FALL)
+        asked: dict[str, Tally] = {}
+        for tally in tallies:
+            asked[tally.key] = tally
+            if tally.key not in self._seen:
+                self._seen[tally.key] = _Seen(tally, now)
+        return list(self._demands(passed, rise, fall, asked))
+
+    def _demands(self, passed: float, rise: float, fall: float, asked: dict[str, Tally]) -> Iterator[Demand]:
+        for key, seen in list(self._seen.items()):
+            tally = asked.get(key)
+            rate = tally.asked / passed if tally is not None else 0.0
+            if tally is not None:
+                seen.first, seen.count = tally.first, tally.count
+                seen.whole, seen.burst, seen.open = tally.whole, tally.burst, tally.open
+            seen.rate += (rate - seen.rate) * (rise if rate > seen.rate else fall)
+            # What came within one survey may have come at once: the store's burst has to take it.
+            came = tally.asked if tally is not None else 0.0
+            seen.peak += (came - seen.peak) * (1.0 if came > seen.peak else fall)
+            most = tally.most if tally is not None else 0.0
+            seen.most += (most - seen.most) * (1.0 if most > seen.most else fall)
+            need = 0.0
+            if seen.whole > 0:
+                need = max(HEADROOM * seen.rate / seen.whole,
+                           seen.peak / (seen.burst + SPAN * seen.whole) if seen.burst else 0.0)
+            if seen.open > 0:
+                need = max(need, seen.most / seen.open)
+            need = min(1.0, need)
+            if need < GONE:
+                del self._seen[key]
+                need = 0.0
+            yield Demand(key, seen.first, seen.count, need)
--- a/micagate/quotas.py
+++ b/micagate/quotas.py
@@ -6,6 +6,7 @@
 from collections import OrderedDict
 
 from micagate import interface as i
+from micagate.shares import Shares, customer_key
 
 DECAY = 0.7  # of the forecast, each second (ours)
 LONG_DECAY = 0.95  # of the longer forecast, for customers that come to this gateway seldom (ours)
@@ -19,11 +20,14 @@
 class Account:
     """One customer as this gateway knows it."""
 
-    __slots__ = ("plan", "spread", "depth", "floor", "slice", "store", "ceiling", "at", "tick", "asked",
-                 "forecast", "longer", "top", "use", "read", "readings", "fresh", "out")
+    __slots__ = ("plan", "spread", "over", "key", "first", "tally", "most", "depth", "floor", "slice",
+                 "store", "ceiling", "at", "tick", "asked", "forecast", "longer", "top", "use", "read",
+                 "readings", "fresh", "out")
 
-    def __init__(self, plan: i.Plan, spread: int, now: float, born: float) -> None:
-        self.plan, self.spread = plan, spread
+    def __init__(self, plan: i.Plan, key: str, spread: int, now: float, born: float) -> None:
+        self.plan, self.key, self.spread = plan, key, spread
+        self.over: float = spread  # what the whole is divided by to give this gateway's share
+        self.first, self.tally, self.most = 0, 0.0, 0
         self.depth, self.floor = plan.burst / spread, plan.rate / spread
         self.slice, self.store = self.floor, self.depth
         # An earlier life of this gateway may have spent its share of the ceiling: it fills from this birth.
@@ -52,8 +56,9 @@
 class Quotas:
     """Stores, metered slices, ceilings and at-once caps of the customers."""
 
-    def __init__(self, now: float) -> None:
-        self._born = now
+    def __init__(self, now: float, shares: Shares | None = None) -> None:
+        self._born, self._shares = now, Shares() if shares is None else shares
+        self._surveyed: dict[str, Account] | None = None  # asked since the last survey, if any
         self._accounts: OrderedDict[tuple[str, str], Account] = OrderedDict()
 
     def account(self, now: float, customer: str, plan: i.Plan, spread: int) -> Account:
@@ -67,24 +72,39 @@
             if now - oldest.at < IDLE or oldest.out:
                 break
             self._refill(now, oldest)
-            if oldest.ceiling < oldest.plan.ceiling_depth / oldest.spread:
+            if oldest.ceiling < oldest.plan.ceiling_depth / oldest.over:
                 self._accounts.move_to_end(name)
             else:
                 del self._accounts[name]
         key = customer, plan.name
         account = self._accounts.get(key)
         if account is None:
-            account = self._accounts[key] = Account(plan, spread, now, self._born)
+            account = self._accounts[key] = Account(
+                plan, customer_key(plan.name, customer), spread, now, self._born)
         elif account.spread != spread:
-            account.spread, account.depth, account.floor = spread, plan.burst / spread, plan.rate / spread
+            account.spread = spread
+            self._divide(account, spread)
         self._accounts.move_to_end(key)
         self._refill(now, account)
         return account
 
+    @staticmethod
+    def _divide(a: Account, over: float) -> None:
+        a.over, a.depth, a.floor = over, a.plan.burst / over, a.plan.rate / over
+
     def _refill(self, now: float, a: Account) -> None:
         elapsed, a.at = now - a.at, now
+        if self._shares or a.over != a.spread:
+            over = self._shares.over(now, a.key, a.spread)
+            if over != a.over:
+                # What came in since then came at the smaller share: the other part of it may have been
+                # another's. A store that shrinks is cut; one that grows has to fill.
+                elapsed, before = 0.0, elapsed
+                a.store += before * min(a.slice, a.plan.rate / over)
+                a.ceiling += before * a.plan.ceiling_rate / max(over, a.over)
+                self._divide(a, over)
         a.store = min(a.depth, a.store + elapsed * a.slice)
-        a.ceiling = min(a.plan.ceiling_depth / a.spread, a.ceiling + elapsed * a.plan.ceiling_rate / a.spread)
+        a.ceiling = min(a.plan.ceiling_depth / a.over, a.ceiling + elapsed * a.plan.ceiling_rate / a.over)
         seconds = int(now - a.tick)
         if seconds:
             a.tick += seconds
@@ -102,7 +122,7 @@
 
         A request larger than a whole part of the store goes when that part is full, or it never would.
         """
-        if a.plan.at_once and a.out >= max(1, int(a.plan.at_once / a.spread)):
+        if a.plan.at_once and a.out >= max(1, int(a.plan.at_once / a.over)):
             return False
         # Guards against starving: a part of less than a few requests refuses calm customers by chance. Harm:
         # a burst of one that the meter showed as calm goes over until the next readings.
@@ -114,7 +134,37 @@
         """Whether the ceiling has room; what goes beyond the quota leaves half of it to what is inside."""
         if not a.plan.ceiling_rate:
             return True
-        return a.ceiling >= units + (a.plan.ceiling_depth / a.spread / 2 if beyond else 0.0)
+        return a.ceiling >= units + (a.plan.ceiling_depth / a.over / 2 if beyond else 0.0)
+
+    def shared(self, now: float, event: i.Shares) -> None:
+        """Follow what planners moved: what is lent is spent here no more from now on."""
+        self._shares.change(event)
+        for share in event.changes:
+            kind, _, rest = share.key.partition("/")
+            plan, _, customer = rest.partition("/")
+            account = self._accounts.get((customer, plan)) if kind == "c" else None
+            if account is not None:
+                self._refill(now, account)
+
+    def count(self, a: Account, request: i.Request) -> None:
+        """Count what is asked, for the next survey."""
+        a.asked += request.units
+        if self._surveyed is not None:
+            a.first = request.first
+            a.tally += request.units
+            a.most = max(a.most, a.out + 1)
+            self._surveyed[a.key] = a
+
+    def survey(self) -> list[i.Tally]:
+        """What was asked since the last survey."""
+        tallies = [
+            i.Tally(a.key, a.first, a.spread, a.tally, a.most, a.plan.rate or a.plan.ceiling_rate,
+                    a.plan.burst if a.plan.rate else a.plan.ceiling_depth, a.plan.at_once)
+            for a in (self._surveyed or {}).values() if a.plan.rate or a.plan.ceiling_rate or a.plan.at_once]
+        for a in (self._surveyed or {}).values():
+            a.tally, a.most = 0.0, 0
+        self._surveyed = {}
+        return tallies
 
     def take(self, a: Account, units: float, inside: bool) -> None:
         """Take a first attempt's units; they stay taken even where it proves void, which is rare."""
--- /dev/null
+++ b/micagate/shares.py
@@ -0,0 +1,73 @@
+"""Shares of things that planners move between gateways, as the decisions use them.
+
+Each gateway of a set of `count` has the part 1/count of a thing, less what it has lent, plus what it has
+borrowed. Both stand by session, with one end each for all of a session, and are looked at when they are used:
+a gateway that slept past an end spends nothing that was no longer its own. With no planner there is nothing
+here, and every part is 1/count to the letter.
+"""
+
+from __future__ import annotations
+
+import math
+
+from micagate import interface as i
+
+
+class Shares:
+    """What is lent and borrowed of each thing."""
+
+    def __init__(self) -> None:
+        self._ends: dict[int, tuple[float, float]] = {}  # by session: of what is lent, of what is borrowed
+        self._amounts: dict[str, dict[int, tuple[float, float]]] = {}
+
+    def change(self, event: i.Shares) -> None:
+        """Follow a session; one whose both ends are past is forgotten with its amounts."""
+        if event.over:
+            self._ends.pop(event.session, None)
+            for key in [key for key, held in self._amounts.items() if event.session in held]:
+                self._set(key, event.session, 0.0, 0.0)
+            return
+        self._ends[event.session] = event.lent_until, event.borrowed_until
+        for share in event.changes:
+            self._set(share.key, event.session, share.lent, share.borrowed)
+
+    def _set(self, key: str, session: int, lent: float, borrowed: float) -> None:
+        held = self._amounts.setdefault(key, {})
+        if lent or borrowed:
+            held[session] = lent, borrowed
+        else:
+            held.pop(session, None)
+        if not held:
+            del self._amounts[key]
+
+    def __contains__(self, key: str) -> bool:
+        return key in self._amounts
+
+    def __len__(self) -> int:
+        return len(self._amounts)
+
+    def over(self, now: float, key: str, count: float) -> float:
+        """What the whole of a thing is divided by to give this gateway's share: `count` where nothing
+        moved."""
+        held = self._amounts.get(key)
+        if held is None:
+            return count
+        lent = borrowed = 0.0
+        for session, (out, got) in held.items():
+            lent_until, borrowed_until = self._ends[session]
+            lent += out if now < lent_until else 0.0
+            borrowed += got if now < borrowed_until else 0.0
+        if not lent and not borrowed:
+            return count
+        share = max(0.0, 1.0 / count - lent) + borrowed
+        return 1.0 / share if share > 0 else math.inf
+
+
+def customer_key(plan: str, customer: str) -> str:
+    """The thing that a customer's quota and ceiling are."""
+    return f"c/{plan}/{customer}"
+
+
+def worker_key(worker: str) -> str:
+    """The thing that a cold worker's room is."""
+    return f"w/{worker}"
--- a/oliveloft/front/http.py
+++ b/oliveloft/front/http.py
@@ -357,7 +357,7 @@
         self._usual: dict[Client, None] = {}  # those that have, the one whose last reply is oldest first
         self._plans = {p.name.encode() for p in settings.plans}
         self._able = self._retired = False
-        self._weights: dict[bytes, tuple[float, int]] = {}
+        self._weights: dict[bytes, tuple[float, int, int]] = {}
 
     def able(self) -> None:
         """There are workers to serve with."""
@@ -471,7 +471,7 @@
             units_spread = self._weight(weight)
             if len(self._weights) < MOST_WEIGHTS:
                 self._weights[weight] = units_spread
-        units, spread = units_spread
+        units, spread, set_first = units_spread
         deadline = incoming.seen + min(float(timeout), klass.deadline)
         request = name.decode()
         if self.bridge.holds(request):
@@ -479,15 +479,15 @@
         event = i.Request(
             request=request, klass=named.decode(), plan=plan.decode(), customer=customers[0].decode().lower(),
             time_left=max(0.0, deadline - now), units=units, spread=spread,
-            repeat=fields.get(b"x-retried") == b"1")
+            repeat=fields.get(b"x-retried") == b"1", first=set_first)
         target = path + b"?" + query
         length = b"Content-Length: %d\r\n" % sum(map(len, incoming.body)) if incoming.method == b"POST" \
             or incoming.body else b""
         head = b"%b %b HTTP/1.1\r\n%b%b" % (incoming.method, target, b"".join(incoming.lines), length)
         return event, head, deadline
 
-    def _weight(self, text: bytes) -> tuple[float, int]:
-        """Units and spread of X-Weight."""
+    def _weight(self, text: bytes) -> tuple[float, int, int]:
+        """Units, spread and first of X-Weight."""
         parts = dict(part.strip().partition(b"=")[::2] for part in text.split(b","))
         units, spread, first = (parts.get(key, b"") for key in (b"units", b"spread", b"first"))
         if not all(DECIMAL.fullmatch(part) for part in (units, spread, first)):
@@ -495,4 +495,4 @@
         if b"." in spread + first or not 0 < float(units) <= self._units_top \
                 or not 1 <= int(spread) <= self._gateways or int(first) >= self._gateways:
             raise BadRequest(400, "X-Weight")
-        return float(units), int(spread)
+        return float(units), int(spread), int(first)
--- a/oliveloft/gatekeeper/bridge.py
+++ b/oliveloft/gatekeeper/bridge.py
@@ -68,6 +68,15 @@
         self._workers.update(news.endpoints, news.whole)
         self._hand(i.WorkerList(tuple(e.entry for e in news.endpoints), whole=news.whole), "")
 
+    def shares(self, event: i.Shares) -> None:
+        """Planners have moved shares: they hold from now on."""
+        self._hand(event, "")
+
+    def survey(self) -> tuple[i.Tally, ...]:
+        """What was asked of each thing since the last survey."""
+        return next((action.tallies for action in self._module.handle(self._loop.time(), i.Survey())
+                     if isinstance(action, i.Tallies)), ())
+
     def _hand(self, event: i.Event, about: str) -> None:
         """Let the module handle an event, and after it all that came of its actions."""
         self._inbox.append((event, about))
@@ -112,8 +121,8 @@
                 request = self._requests.get(name)
                 if request is not None and number < len(request.attempts):
                     request.attempts[number].give_up(i.CANCELLED)
-            case i.Subscribe():
-                pass  # discovery is watched from the start
+            case i.Subscribe() | i.Tallies():
+                pass  # discovery is watched from the start; who surveys takes the tallies itself
 
     def _fired(self, ref: int, about: str) -> None:
         self._hand(i.TimerFired(ref), about)
--- /dev/null
+++ b/tests/decisions/test_shares.py
@@ -0,0 +1,159 @@
+"""Shares that planners move, as the decisions use them: quota, ceiling, at-once cap and cold workers."""
+
+import math
+
+import pytest
+
+from micagate import interface as i
+from micagate.quotas import Quotas
+from micagate.shares import Shares, customer_key, worker_key
+from rig.driver import Driver, sends
+
+CAPPED = i.Plan("capped", rate=10.0, burst=20.0, ceiling_rate=20.0, ceiling_depth=40.0)
+KEY = customer_key("capped", "c")
+
+
+def moved(session=1, lent=0.0, borrowed=0.0, until=10.0, key=KEY, **more):
+    return i.Shares(session, until, until, (i.Share(key, lent, borrowed),), **more)
+
+
+def test_the_divisor_is_the_count_to_the_letter_where_nothing_moved():
+    shares = Shares()
+    assert shares.over(0.0, KEY, 3) is not None and shares.over(0.0, KEY, 3) == 3
+    shares.change(moved(lent=0.2))
+    assert shares.over(0.0, KEY, 3) == pytest.approx(1 / (1 / 3 - 0.2))
+    assert shares.over(10.0, KEY, 3) == 3  # the end is past
+    shares.change(moved(borrowed=0.5))
+    assert shares.over(0.0, KEY, 3) == pytest.approx(1 / (1 / 3 + 0.5))
+    shares.change(moved(lent=1 / 3))
+    assert shares.over(0.0, KEY, 3) == math.inf
+    shares.change(i.Shares(1, 10.0, 10.0, over=True))
+    assert not shares and shares.over(0.0, KEY, 3) == 3
+
+
+def test_sessions_add_up_and_each_ends_by_itself():
+    shares = Shares()
+    shares.change(moved(1, lent=0.1, until=5.0))
+    shares.change(moved(2, lent=0.1, until=9.0))
+    assert shares.over(0.0, KEY, 2) == pytest.approx(1 / 0.3)
+    assert shares.over(6.0, KEY, 2) == pytest.approx(1 / 0.4)
+
+
+def spend(quotas, start, end, step=0.05, customer="c"):
+    """Ask all the time; the units that pass the ceiling."""
+    went, now = 0.0, start
+    while now < end:
+        account = quotas.account(now, customer, CAPPED, 2)
+        if quotas.allowed(account, 1.0, False):
+            quotas.take(account, 1.0, False)
+            went += 1
+        now += step
+    return went
+
+
+def test_a_lent_ceiling_is_spent_no_more_and_a_borrowed_one_fills_at_its_rate_from_nothing():
+    quotas = Quotas(-60.0)
+    quotas.account(0.0, "c", CAPPED, 2)
+    quotas.shared(0.0, moved(lent=0.45, until=10.0))
+    assert spend(quotas, 0.0, 10.0) <= 0.05 * 40 + 0.05 * 20 * 10 + 1
+    assert spend(quotas, 10.0, 15.0) <= 0.05 * 40 + 0.5 * 20 * 5 + 1  # it does not come back full
+    borrower = Quotas(-60.0)
+    spend(borrower, 0.0, 2.0, step=0.01)  # its own part is spent
+    borrower.shared(2.0, moved(borrowed=0.45, until=10.0))
+    assert 0.95 * 20 * 4 - 5 <= spend(borrower, 2.0, 6.0, step=0.01) <= 0.95 * 20 * 4 + 5
+
+
+def test_two_gateways_together_keep_the_ceiling_while_shares_go_to_and_fro():
+    pair = Quotas(-60.0), Quotas(-60.0)
+    spent, now, log = 0.0, 0.0, []
+    for turn in range(400):
+        now = turn * 0.05
+        if turn % 40 == 0:
+            lender, borrower = pair if turn % 80 else pair[::-1]
+            until = now + 1.5
+            lender.shared(now, moved(1, lent=0.4, until=until))
+            borrower.shared(now, i.Shares(1, until, until, (i.Share(KEY, 0.0, 0.4),)))
+        for quotas in pair:
+            for _ in range(4):
+                account = quotas.account(now, "c", CAPPED, 2)
+                if quotas.allowed(account, 1.0, False):
+                    quotas.take(account, 1.0, False)
+                    spent += 1
+        log.append((now, spent))
+    for begin, before in log:
+        for end, after in log:
+            assert after - before <= 40 + 20 * max(0.0, end - begin) + 8 or end < begin
+    assert spent > 0.75 * (40 + 20 * now)
+
+
+def test_a_gateway_that_slept_past_the_end_of_what_it_borrowed_spends_none_of_it():
+    quotas = Quotas(-60.0)
+    quotas.account(0.0, "c", CAPPED, 2)
+    quotas.shared(0.0, moved(borrowed=0.5, until=1.5))
+    account = quotas.account(100.0, "c", CAPPED, 2)
+    assert account.ceiling <= 20 and account.over == 2
+
+
+def test_the_slice_stands_on_the_share_and_no_cliff_comes_with_its_end():
+    quotas = Quotas(-60.0)
+    plan = i.Plan("metered", rate=12.0, burst=12.0)
+    key = customer_key("metered", "c")
+    for second in range(6):
+        account = quotas.account(second, "c", plan, 3)
+        account.asked += 12.0
+        quotas.shared(second, i.Shares(1, second + 1.5, second + 1.5, (i.Share(key, 0.0, 0.6),)))
+    assert quotas.account(6.0, "c", plan, 3).slice >= 0.9 * 12
+    before = quotas.account(6.4, "c", plan, 3).slice
+    after = quotas.account(7.0, "c", plan, 3)
+    assert after.over == 3 and after.slice > 0.9 * before  # the last slice stands until a reading says more
+
+
+def test_an_at_once_cap_follows_the_share():
+    d = Driver()
+    for _ in range(1):
+        assert sends(d.ask(plan="few")[1])
+    assert not sends(d.ask(plan="few")[1])  # 4 over 3 gateways: one
+    d.give(i.Shares(1, 100.0, 100.0, (i.Share(customer_key("few", "c"), 0.0, 0.5),)))
+    assert sends(d.ask(plan="few")[1]) and sends(d.ask(plan="few")[1])
+
+
+def test_a_cold_worker_s_room_that_is_lent_is_not_used_and_what_is_borrowed_is():
+    def sent(share):
+        d = Driver(1, gateways=20, ramp_time=30.0)
+        for _ in range(40):  # warm: the pace becomes known
+            name, actions = d.ask("read", after=0.02)
+            for worker in sends(actions):
+                d.answer(name, worker, took=0.02)
+        d.give(i.WorkerList((i.WorkerEntry("w0", zone="a", started=d.now),)))
+        d.give(i.Shares(1, 1e9, 1e9, (share,) if share else ()))
+        return sum(len(sends(d.ask("read", after=0.02)[1])) for _ in range(25))
+    assert sent(i.Share(worker_key("w0"), lent=0.05)) == 0
+    assert sent(i.Share(worker_key("w0"), borrowed=0.3)) >= sent(None)
+
+
+def test_a_survey_tells_what_was_asked_since_the_last_one_and_counts_from_the_first():
+    d = Driver()
+    d.ask(plan="metered", customer="a", units=2.0)
+    assert d.give(i.Survey()) == [i.Tallies(())]
+    d.ask(plan="metered", customer="a", units=2.0)
+    d.ask(plan="metered", customer="a", units=1.0)
+    d.ask(plan="free", customer="b")  # nothing is limited: nothing to share
+    d.ask(plan="few", customer="a")
+    (tallies,) = d.give(i.Survey())
+    found = {tally.key: tally for tally in tallies.tallies}
+    assert set(found) == {customer_key("metered", "a"), customer_key("few", "a")}
+    assert found[customer_key("metered", "a")].asked == 3.0
+    assert found[customer_key("metered", "a")].whole == 3.0 and found[customer_key("few", "a")].open == 4
+    assert d.give(i.Survey()) == [i.Tallies(())]
+
+
+def test_a_survey_changes_no_decision():
+    plain, asked = Driver(), Driver()
+    for n in range(200):
+        asked.give(i.Survey())
+        for d in (plain, asked):
+            name, actions = d.ask("read", plan="capped", customer=f"c{n % 5}", after=0.02)
+            for worker in sends(actions):
+                d.answer(name, worker, took=0.02)
+        assert plain.gateway.quotas._accounts.keys() == asked.gateway.quotas._accounts.keys()
+    assert plain.gateway._random.getstate() == asked.gateway._random.getstate()
