--- a/micagate/planning/holder.py
+++ b/micagate/planning/holder.py
@@ -9,9 +9,10 @@
 
 import itertools
 import math
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Container, Iterable
 from dataclasses import dataclass
 
+from micagate.interface import Share, Shares
 from micagate.planning.messages import TINY, Amount, Call, Need, Report, Word
 from micagate.planning.terms import Terms
 
@@ -34,7 +35,7 @@
 
     __slots__ = ("planner", "shard", "epoch", "number", "reported", "word", "stamp", "lent_until",
                  "borrowed_until", "lent", "borrowed", "sent_at", "heard", "live", "told", "due", "urgent",
-                 "lends", "_asked", "touched")
+                 "lends", "_asked", "touched", "taken")
 
     def __init__(self, planner: str, shard: int, epoch: int, number: int, now: float) -> None:
         self.heard = now
@@ -51,6 +52,7 @@
         self.lends: dict[str, None] = {}  # loans to be told
         self.urgent = False
         self._asked: dict[int, float] = {}  # by report: when it was sent
+        self.taken: tuple[float, float] | None = None  # both ends, as the module has them
         self.touched: dict[str, None] = {}  # things whose lent or borrowed amount has changed
 
     def asked(self, now: float, number: int) -> None:
@@ -211,16 +213,18 @@
 
     # What goes out.
 
-    def reports(self, now: float) -> list[tuple[str, Report]]:
-        """The reports that are due; each renews all loans of its session for a term from now."""
-        self._sessions = [s for s in self._sessions if not s.over(now)]
+    def reports(self, now: float, blocked: Container[str] = ()) -> list[tuple[str, Report]]:
+        """The reports that are due; each renews all loans of its session for a term from now.
+
+        None is made for blocked planners, who don't read what they are sent: what is to be told adds up here.
+        """
         for shard in [shard for shard, s in self._current.items()
                       if (s.lent or s.borrowed) and now - s.heard > 2 * self._t.life]:
             # Guards against renewing loans to a planner that hears no more, or is heard no more: it has to
             # say again that it owns the shard.
             self._end(shard)
         return [(session.planner, report) for session in list(self._current.values())
-                for report in self._due(now, session)]
+                if session.planner not in blocked for report in self._due(now, session)]
 
     def _due(self, now: float, session: Session) -> Iterable[Report]:
         waited = now - session.sent_at
@@ -266,6 +270,30 @@
         borrowed = sum(s.borrowed.get(key, 0.0) for s in self._sessions if now < s.borrowed_until)
         return max(0.0, 1.0 / count - self._lent(now, key)) + borrowed
 
+    def moves(self, now: float) -> list[Shares]:
+        """What has changed since the last call, as the module is to hear it; ended sessions come last."""
+        made = []
+        for session in self._sessions:
+            state = session.lent_until, session.borrowed_until
+            if session.touched or state != session.taken:
+                changes = tuple(Share(key, session.lent.get(key, 0.0), session.borrowed.get(key, 0.0))
+                                for key in session.touched)
+                session.touched.clear()
+                session.taken = state
+                made.append(Shares(session.number, *state, changes))
+        return made
+
+    def ended(self, now: float) -> list[Shares]:
+        """Forget the sessions of which nothing matters any more, and say so to the module."""
+        over = [s for s in self._sessions if s.over(now)]
+        if over:
+            self._sessions = [s for s in self._sessions if s not in over]
+        return [Shares(s.number, s.lent_until, s.borrowed_until, over=True) for s in over if s.taken]
+
     def sessions(self) -> list[Session]:
         """All sessions that still matter."""
         return self._sessions
+
+    def epochs(self) -> dict[int, int]:
+        """By shard: the highest epoch heard of."""
+        return dict(self._epochs)
--- a/micagate/planning/ledger.py
+++ b/micagate/planning/ledger.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Container
 
 from micagate.planning.allocate import targets
 from micagate.planning.messages import TINY, Again, Amount, Call, Report, Word
@@ -213,8 +214,11 @@
 
     # What is decided.
 
-    def words(self, now: float) -> list[tuple[str, Word]]:
-        """What to tell which forwarder now. To be called often: at each report, and each interval."""
+    def words(self, now: float, blocked: Container[str] = ()) -> list[tuple[str, Word]]:
+        """What to tell which forwarder now. To be called often: at each report, and each interval.
+
+        Nothing is made for the blocked, who don't read what they are sent: their news adds up here.
+        """
         self._lapse(now)
         dirty, self._dirty = self._dirty | self._unmet, {}
         for key in dirty:
@@ -222,7 +226,7 @@
                 self._decide(now, key)
         words = []
         for session in self._sessions.values():
-            if self._owed(now, session):
+            if session.name not in blocked and self._owed(now, session):
                 words.append((session.name, self._word(now, session)))
                 while session.changed_calls or session.changed_grants:
                     words.append((session.name, self._word(now, session)))
--- a/micagate/planning/messages.py
+++ b/micagate/planning/messages.py
@@ -7,14 +7,14 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
+
+import msgspec
 
 LONGEST_KEY = 256
 TINY = 1e-9  # differences of amounts below this are none
 
 
-@dataclass(frozen=True, slots=True)
-class Need:
+class Need(msgspec.Struct, frozen=True, array_like=True):
     """A forwarder's need of a thing that the forwarders `first`, `first` + 1, ... share, `count` of them."""
 
     key: str
@@ -23,16 +23,14 @@
     need: float
 
 
-@dataclass(frozen=True, slots=True)
-class Amount:
+class Amount(msgspec.Struct, frozen=True, array_like=True):
     """So much of a thing: lent, or granted."""
 
     key: str
     amount: float
 
 
-@dataclass(frozen=True, slots=True)
-class Call:
+class Call(msgspec.Struct, frozen=True, array_like=True):
     """How much of its part of a thing the planner would have a forwarder lend; less than before frees it."""
 
     key: str
@@ -40,8 +38,7 @@
     amount: float
 
 
-@dataclass(frozen=True, slots=True)
-class Report:
+class Report(msgspec.Struct, frozen=True, array_like=True, tag=1):
     """A forwarder's message: `ack` is the number of the latest word it has, `echo` that word's stamp."""
 
     shard: int
@@ -54,8 +51,7 @@
     lends: tuple[Amount, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class Word:
+class Word(msgspec.Struct, frozen=True, array_like=True, tag=2):
     """A planner's message: `answers` is the number of the latest report it has, `stamp` its clock's
     reading."""
 
@@ -69,8 +65,7 @@
     grants: tuple[Amount, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class Again:
+class Again(msgspec.Struct, frozen=True, array_like=True, tag=3):
     """A planner's message: this session has a gap or is unknown; begin a new one."""
 
     shard: int
--- a/oliveloft/cli.py
+++ b/oliveloft/cli.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import argparse
+import sys
 from collections.abc import Callable, Sequence
 
 Run = Callable[[argparse.Namespace], int]
@@ -35,7 +36,41 @@
 def _demo(words: argparse.Namespace) -> int:
     from rig.demo import main
     return main(workers=words.workers, gatekeepers=words.gatekeepers, rate=words.rate, seconds=words.seconds,
-                seed=words.seed)
+                seed=words.seed, planners=words.planners)
+
+
+def _plan(words: argparse.Namespace) -> int:
+    import logging
+
+    import uvloop
+
+    from oliveloft.gatekeeper.config import ConfigError
+    from oliveloft.planners.config import load
+    from oliveloft.planners.planner import serve
+    logging.basicConfig(level=logging.INFO, format="%(levelname)s %(message)s", stream=sys.stderr)
+    try:
+        config = load(words.config)
+        if words.name not in config.planners:
+            raise ConfigError(f"--name: {words.name!r} is none of {', '.join(config.planners)}")
+        return uvloop.run(serve(words.name, config))
+    except ConfigError as error:
+        print(f"oliveloft: {error}", file=sys.stderr)
+        return 2
+
+
+def _forward(words: argparse.Namespace) -> int:
+    from oliveloft.gatekeeper.process import main
+    return main(words.number, words.config)
+
+
+def _status(words: argparse.Namespace) -> int:
+    from oliveloft.planners.status import main
+    return main(words.config, words.json)
+
+
+def _config(verb: argparse.ArgumentParser) -> None:
+    verb.add_argument("--config", default="deploy/planners.toml", metavar="FILE",
+                      help="the planners' configuration (default deploy/planners.toml)")
 
 
 def parser() -> argparse.ArgumentParser:
@@ -50,7 +85,24 @@
     demo.add_argument("--rate", type=amount, default=120.0, help="requests a second asked (default 120)")
     demo.add_argument("--seconds", type=amount, default=None, help="end by itself after so long")
     demo.add_argument("--seed", type=int, default=1, help="seed of the traffic (default 1)")
+    demo.add_argument("--planners", type=whole(0), default=0,
+                      help="planners that move shares between gatekeepers (default 0)")
     demo.set_defaults(run=_demo)
+    plan = verbs.add_parser("plan", help="a planner, which hands out shares of quota and capacity")
+    _config(plan)
+    plan.add_argument("--name", required=True, help="which of the planners of the file this is")
+    plan.set_defaults(run=_plan)
+    forward = verbs.add_parser("forward", help="a gatekeeper that follows the planners of a file")
+    _config(forward)
+    forward.add_argument("--number", type=whole(0), required=True,
+                         help="its number among the forwarders, from 0, as X-Weight counts them")
+    forward.set_defaults(run=_forward)
+    planners = verbs.add_parser("planners", help="what planners say of themselves")
+    asked = planners.add_subparsers(dest="what", required=True, metavar="WHAT")
+    status = asked.add_parser("status", help="who owns what, epochs, grants out, age of reports")
+    _config(status)
+    status.add_argument("--json", action="store_true", help="one JSON object")
+    status.set_defaults(run=_status)
     return top
 
 
--- a/oliveloft/gatekeeper/process.py
+++ b/oliveloft/gatekeeper/process.py
@@ -10,6 +10,8 @@
 import signal
 import sys
 import time
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 import uvloop
 
@@ -20,6 +22,9 @@
 from oliveloft.gatekeeper.bridge import Bridge
 from oliveloft.gatekeeper.config import Config, ConfigError, load
 
+if TYPE_CHECKING:  # the platform's gatekeeper has no planners and loads nothing of them
+    from oliveloft.planners.config import PlannersConfig
+
 log = logging.getLogger("oliveloft")
 
 STILL_COMING = 0.5  # seconds after SIGTERM in which connections are still taken (the front needs up to 0.4)
@@ -31,7 +36,16 @@
 BACKLOG = 1024
 
 
-async def serve(config: Config) -> int:
+@dataclass(frozen=True, slots=True)
+class Planning:
+    """What makes a gatekeeper a forwarder: its number among them, the planners, and when it started."""
+
+    index: int
+    config: PlannersConfig
+    born: float
+
+
+async def serve(config: Config, planning: Planning | None = None) -> int:
     """Run until a signal; the exit status."""
     loop = asyncio.get_running_loop()
     room = max(16, config.sockets - RESERVE)
@@ -57,6 +71,15 @@
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
+    links = None
+    if planning is not None:
+        from oliveloft.planners.link import Links
+        links = Links(config.name, planning.index, planning.config, bridge, planning.born)
+        links.start()
+        waiting = {loop.create_task(links.ready()), loop.create_task(stop.wait())}
+        await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
+        for task in waiting:
+            task.cancel()
     try:
         listener = await loop.create_server(lambda: Client(server), *config.listen, backlog=BACKLOG)
     except OSError as error:
@@ -94,20 +117,37 @@
     listener.close()
     await server.finish(max(c.deadline for c in config.settings.classes) + 0.2)
     discovery.stop()
+    if links is not None:
+        links.stop()
     return 0
 
 
-def main() -> int:
-    """Read the configuration and serve."""
+def _planning(config: Config, index: int, file: str, born: float) -> Planning:
+    from oliveloft.planners.config import load as load_planners
+    planners = load_planners(file)
+    if planners.forwarders != config.settings.gateways:
+        raise ConfigError(f"forwarders.count: {planners.forwarders} in {file}, but settings.NInstances is "
+                          f"{config.settings.gateways}")
+    if not 0 <= index < planners.forwarders:
+        raise ConfigError(f"--number: must be from 0 to {planners.forwarders - 1}, not {index}")
+    return Planning(index, planners, born)
+
+
+def main(index: int | None = None, planners: str = "") -> int:
+    """Read the configuration and serve; with the planners' file, as the forwarder of this number."""
+    born = time.monotonic()
     logging.basicConfig(level=logging.INFO, format="%(levelname)s %(message)s", stream=sys.stderr)
     # Guards against a reload that comes before it can be carried out: it waits, and neither ends the process
     # nor is forgotten.
     signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
     try:
         config = load(os.environ)
+        planning = None
+        if index is not None:
+            planning = _planning(config, index, planners, born)
         _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
         resource.setrlimit(resource.RLIMIT_NOFILE, (config.sockets, hard))  # never more than was granted
-        return uvloop.run(serve(config))
+        return uvloop.run(serve(config, planning))
     except ConfigError as error:
         print(f"oliveloft: {error}", file=sys.stderr)
         return 2
--- /dev/null
+++ b/oliveloft/planners/config.py
@@ -0,0 +1,179 @@
+"""`deploy/planners.toml`, checked key by key: what forwarders and planners are told. Unknown keys are
+errors."""
+
+from __future__ import annotations
+
+import difflib
+import ssl
+import tomllib
+from collections.abc import Mapping
+from dataclasses import dataclass, fields
+from pathlib import Path
+from typing import Any
+
+from micagate.planning.terms import Terms
+from oliveloft.gatekeeper.config import ConfigError, address
+
+MOST_FORWARDERS = 10_000
+SHORTEST_SECRET = 16
+
+
+@dataclass(frozen=True, slots=True)
+class Tls:
+    """Files of this side's certificate, its key, and the authority that the other side's must come from."""
+
+    certificate: str
+    key: str
+    authority: str
+
+    def server(self) -> ssl.SSLContext:
+        """A context that takes only peers with a certificate of the authority."""
+        context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+        return self._loaded(context)
+
+    def client(self) -> ssl.SSLContext:
+        """The same for the side that connects; names are not checked, the authority is the membership."""
+        context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+        context.check_hostname = False
+        return self._loaded(context)
+
+    def _loaded(self, context: ssl.SSLContext) -> ssl.SSLContext:
+        context.minimum_version = ssl.TLSVersion.TLSv1_2
+        context.verify_mode = ssl.CERT_REQUIRED
+        context.load_verify_locations(self.authority)
+        context.load_cert_chain(self.certificate, self.key)
+        return context
+
+
+@dataclass(frozen=True, slots=True)
+class PlannersConfig:
+    """A checked configuration; times are seconds."""
+
+    terms: Terms
+    forwarders: int
+    planners: dict[str, tuple[str, int]]
+    embedded: bool
+    endpoints: tuple[str, ...]
+    prefix: str
+    session: float
+    secret: bytes
+    tls: Tls | None
+
+
+class _Table:
+    """A table of the file, whose keys are taken one by one; what is left over is an error."""
+
+    def __init__(self, name: str, raw: object) -> None:
+        if not isinstance(raw, dict):
+            raise ConfigError(f"{name}: must be a table")
+        self._name, self._raw, self._known = name, dict(raw), set[str]()
+
+    def take(self, key: str, kind: type | tuple[type, ...], default: Any = None) -> Any:
+        """A key's value; without a default it is needed."""
+        self._known.add(key)
+        if key not in self._raw:
+            if default is None:
+                raise ConfigError(f"{self._name}.{key}: missing")
+            return default
+        value = self._raw.pop(key)
+        if not isinstance(value, kind) or (isinstance(value, bool) and kind is not bool):
+            kinds = kind if isinstance(kind, tuple) else (kind,)
+            raise ConfigError(f"{self._name}.{key}: must be {' or '.join(k.__name__ for k in kinds)}, "
+                              f"not {value!r}")
+        return value
+
+    def done(self) -> None:
+        """Nothing else may stand here."""
+        for key in self._raw:
+            near = difflib.get_close_matches(key, self._known, 1)
+            meant = f" (is {near[0]} meant?)" if near else ""
+            raise ConfigError(f"{self._name}.{key}: unknown{meant}")
+
+
+def load(path: str) -> PlannersConfig:
+    """The configuration in a file."""
+    try:
+        with open(path, "rb") as file:
+            raw = tomllib.load(file)
+    except (OSError, tomllib.TOMLDecodeError) as error:
+        raise ConfigError(f"{path}: {error}") from error
+    return parse(raw, Path(path).parent)
+
+
+def parse(raw: Mapping[str, Any], folder: Path) -> PlannersConfig:
+    """A checked configuration; files are named from the folder that the configuration is in."""
+    top = _Table("planners.toml", raw)
+    terms = _terms(_Table("terms", top.take("terms", dict, {})))
+    forwarders = _Table("forwarders", top.take("forwarders", dict))
+    count = forwarders.take("count", int)
+    if not 1 <= count <= MOST_FORWARDERS:
+        raise ConfigError(f"forwarders.count: must be from 1 to {MOST_FORWARDERS}, not {count}")
+    forwarders.done()
+    planners: dict[str, tuple[str, int]] = {}
+    for name, where in top.take("planners", dict).items():
+        if not name or len(name) > 64 or "/" in name:
+            raise ConfigError(f"planners.{name}: a name has 1 to 64 characters and no slash")
+        try:
+            planners[name] = address(where)
+        except ValueError as error:
+            raise ConfigError(f"planners.{name}: {error}") from error
+    if not planners:
+        raise ConfigError("planners: none named")
+    store = _Table("store", top.take("store", dict, {}))
+    engine = store.take("engine", str, "embedded")
+    if engine not in ("embedded", "etcd"):
+        raise ConfigError(f"store.engine: must be embedded or etcd, not {engine!r}")
+    endpoints = store.take("endpoints", list, ["http://127.0.0.1:2379"])
+    if not endpoints or not all(str(e).startswith(("http://", "https://")) for e in endpoints):
+        raise ConfigError(f"store.endpoints: must be http://host:port each, not {endpoints!r}")
+    prefix = store.take("prefix", str, "/oliveloft/")
+    if not prefix.startswith("/") or not prefix.endswith("/"):
+        raise ConfigError(f"store.prefix: must begin and end with a slash, not {prefix!r}")
+    session = store.take("session", (int, float), 2.0)
+    if not 1 <= session <= 60:
+        raise ConfigError(f"store.session: must be from 1 to 60 s, not {session!r}")
+    store.done()
+    secret, tls = _access(_Table("access", top.take("access", dict, {})), folder)
+    top.done()
+    return PlannersConfig(terms, count, planners, engine == "embedded",
+                          tuple(e.rstrip("/") for e in endpoints), prefix, float(session), secret, tls)
+
+
+def _terms(table: _Table) -> Terms:
+    given = {}
+    for field in fields(Terms):
+        whole = field.name in ("entries", "shards")
+        given[field.name] = table.take(field.name, int if whole else (int, float), field.default)
+    table.done()
+    try:
+        return Terms(**given)
+    except ValueError as error:
+        raise ConfigError(f"terms.{error}") from error
+
+
+def _access(table: _Table, folder: Path) -> tuple[bytes, Tls | None]:
+    """The shared secret (empty: none) and the certificates."""
+    file = table.take("secret_file", str, "")
+    secret = b""
+    if file:
+        try:
+            secret = (folder / file).read_bytes().strip()
+        except OSError as error:
+            raise ConfigError(f"access.secret_file: {error}") from error
+        if len(secret) < SHORTEST_SECRET:
+            raise ConfigError(f"access.secret_file: {file} must hold {SHORTEST_SECRET} bytes or more")
+    names = [table.take(key, str, "") for key in ("certificate", "key", "authority")]
+    is_open = table.take("open", bool, False)
+    table.done()
+    tls = None
+    if any(names):
+        if not all(names):
+            raise ConfigError("access: certificate, key and authority go together")
+        tls = Tls(*(str(folder / name) for name in names))
+        try:
+            tls.server()
+        except (OSError, ssl.SSLError) as error:
+            raise ConfigError(f"access: certificates: {error}") from error
+    if not (secret or tls or is_open):
+        raise ConfigError("access: name a secret_file or certificates, or, on a closed network, open = true")
+    return secret, tls
--- /dev/null
+++ b/oliveloft/planners/keeper.py
@@ -0,0 +1,153 @@
+"""Keeps a planner's membership and its shards in the store: a session, a watch, claims and releases.
+
+While the store can't be reached, what is owned stays owned: nobody else can claim it either, and forwarders
+follow whoever has the higher epoch. A session that the store has let go of is begun anew, with all it held.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import logging
+from collections.abc import Callable
+
+from micagate.planning.ownership import Claim, Owner, Ownership, Release
+from oliveloft.store.interface import Put, Store, StoreError
+
+log = logging.getLogger("oliveloft")
+
+LOOK = 0.1  # seconds between looks at what to claim
+AGAIN = 0.3  # seconds until a failed call is tried again
+RENEWALS = 4  # in the time of a session
+
+
+class Keeper:
+    """One planner's place in the store; `changed` is called with the owned shards and their epochs."""
+
+    def __init__(self, store: Store, ownership: Ownership, address: str, prefix: str, session: float,
+                 changed: Callable[[dict[int, int]], None], now: Callable[[], float]) -> None:
+        self._store, self._ownership, self._address = store, ownership, address
+        self._prefix, self._ttl, self._changed, self._now = prefix, session, changed, now
+        self._lease = 0
+        self._member = ""  # the value under which this planner is a member
+        self._owned: dict[int, int] = {}
+        self._reading = False  # the store's state is known
+        self.trouble = ""  # what the store's last call failed by
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def start(self) -> None:
+        """Take a place."""
+        self._tasks = [asyncio.create_task(work()) for work in (self._session, self._follow, self._claim)]
+
+    async def stop(self) -> None:
+        """Give up the place, so that others need not wait for the session's end."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self._lease:
+            with contextlib.suppress(StoreError):
+                await self._store.revoke(self._lease)
+
+    def _failed(self, error: StoreError) -> None:
+        if not self.trouble:
+            log.warning("store: %s; what is owned stays owned, trying again", error)
+        self.trouble = str(error) or type(error).__name__
+
+    def _well(self) -> None:
+        if self.trouble:
+            log.info("store: back")
+        self.trouble = ""
+
+    async def _session(self) -> None:
+        """Have a lease, and a member's entry under it."""
+        while True:
+            try:
+                if not self._lease:
+                    lease = await self._store.lease(self._ttl)
+                    await self._store.commit({}, [Put(
+                        f"{self._prefix}members/{self._ownership.name}", self._address, lease)])
+                    self._lease = lease
+                elif await self._store.renew(self._lease) <= 0:
+                    log.warning("store: the session has ended; beginning anew")
+                    self._lease = 0
+                    self._reading = False
+                    continue
+                self._well()
+                await asyncio.sleep(self._ttl / RENEWALS)
+            except StoreError as error:
+                self._failed(error)
+                await asyncio.sleep(AGAIN)
+
+    async def _follow(self) -> None:
+        """Know the store's state: read it, then watch, and read again after any break."""
+        while True:
+            try:
+                snapshot = await self._store.read(self._prefix)
+                now = self._now()
+                self._ownership.reset(now)
+                self._ownership.members(now, [entry.key.rpartition("/")[2] for entry in snapshot.entries
+                                              if entry.key.startswith(f"{self._prefix}members/")])
+                for entry in snapshot.entries:
+                    self._seen(now, entry.key, entry.value, entry.modified)
+                self._reading = True
+                self._tell()
+                async for changes in self._store.watch(self._prefix, snapshot.revision):
+                    for change in changes:
+                        self._seen(self._now(), change.key, change.value, change.modified)
+                    self._tell()
+            except StoreError as error:
+                self._failed(error)
+                await asyncio.sleep(AGAIN)
+
+    def _seen(self, now: float, key: str, value: str | None, modified: int) -> None:
+        kind, _, name = key.removeprefix(self._prefix).partition("/")
+        if kind == "members":
+            self._ownership.member(now, name, value is not None)
+            return
+        try:
+            shard = int(name)
+            if kind == "epochs" and value is not None:
+                self._ownership.epoch(shard, int(value), modified)
+            elif kind == "owners":
+                raw = json.loads(value) if value is not None else None
+                self._ownership.owner(now, shard, None if raw is None else Owner(
+                    str(raw["planner"]), int(raw["epoch"]), modified))
+        except (ValueError, KeyError, TypeError) as error:
+            log.warning("store: %s holds nonsense: %r", key, error)
+
+    def _tell(self) -> None:
+        owned = self._ownership.owned()
+        if owned != self._owned:
+            self._owned = owned
+            self._changed(dict(owned))
+
+    async def _claim(self) -> None:
+        """Try what should be claimed or given up."""
+        while True:
+            await asyncio.sleep(LOOK)
+            if not self._lease or not self._reading:
+                continue
+            for wish in self._ownership.wishes(self._now()):
+                try:
+                    await self._try(wish)
+                except StoreError as error:
+                    self._failed(error)
+                    await asyncio.sleep(AGAIN)
+                    break
+
+    async def _try(self, wish: Claim | Release) -> None:
+        key, now = f"{self._prefix}owners/{wish.shard}", self._now()
+        if isinstance(wish, Release):
+            if await self._store.commit({key: wish.modified}, [], [key]) is not None:
+                self._ownership.owner(now, wish.shard, None)
+                self._tell()
+            return
+        value = json.dumps({"planner": self._ownership.name, "epoch": wish.epoch})
+        epochs = f"{self._prefix}epochs/{wish.shard}"
+        revision = await self._store.commit(
+            {key: 0, epochs: wish.modified}, [Put(key, value, self._lease), Put(epochs, str(wish.epoch))])
+        if revision is not None:
+            self._ownership.owner(now, wish.shard, Owner(self._ownership.name, wish.epoch, revision))
+            self._ownership.epoch(wish.shard, wish.epoch, revision)
+            self._tell()
--- /dev/null
+++ b/oliveloft/planners/link.py
@@ -0,0 +1,294 @@
+"""A forwarder's links to all planners: what it reports, and how shares reach its decisions."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+import time
+from typing import Protocol, cast
+
+from micagate import interface as i
+from micagate.planning.demand import Demands
+from micagate.planning.holder import Holder
+from micagate.planning.messages import Again, Malformed, Word, check
+from micagate.planning.ownership import shard_of
+from oliveloft.planners import wire
+from oliveloft.planners.config import PlannersConfig
+
+log = logging.getLogger("oliveloft")
+
+TICK = 0.05  # seconds between looks at what is due
+PULSE = 1.0  # seconds between signs of life where nothing is reported
+SILENT = 2.5  # seconds after which a planner that says nothing is taken for gone
+BACKOFF, LONGEST_BACKOFF = 0.1, 1.0  # seconds between tries to connect
+CONNECT = 1.0  # seconds for a connection to come up and open
+HIGH_WATER = 256 * 1024  # bytes that a planner has not read, beyond which nothing more is made for it
+
+
+class Decisions(Protocol):
+    """What the links need of the bridge."""
+
+    def shares(self, event: i.Shares) -> None:
+        """Take shares."""
+
+    def survey(self) -> tuple[i.Tally, ...]:
+        """What was asked of each thing since the last survey."""
+
+
+class _Line(asyncio.Protocol):
+    """A connection to one planner."""
+
+    def __init__(self, link: _Link) -> None:
+        self._link = link
+        self._framer = wire.Framer()
+        self._nonce = wire.nonce()
+        self._challenge = b""
+        self.transport: asyncio.Transport | None = None
+        self.open = self.blocked = False
+        self.heard = time.monotonic()
+        self.sent_at = 0.0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.transport.set_write_buffer_limits(high=HIGH_WATER)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.transport = None
+        self._link.lost(self, str(exc or "closed"))
+
+    def pause_writing(self) -> None:
+        self.blocked = True
+
+    def resume_writing(self) -> None:
+        self.blocked = False
+
+    def send(self, message: wire.Message) -> None:
+        if self.transport is not None:
+            data = wire.encode(message)
+            self._link.links.sent += len(data)
+            self.sent_at = time.monotonic()
+            self.transport.write(data)
+
+    def data_received(self, data: bytes) -> None:
+        self._link.links.received += len(data)
+        try:
+            for message in self._framer.feed(data):
+                self.heard = time.monotonic()
+                if self.open:
+                    self._link.links.take(self._link.name, message)
+                else:
+                    self._opening(message)
+        except (wire.WireError, Malformed) as error:
+            self._link.complain(str(error))
+            self.drop()
+
+    def _opening(self, message: wire.Message) -> None:
+        links = self._link.links
+        match message:
+            case wire.Challenge(version, nonce):
+                if version != wire.VERSION:
+                    raise wire.WireError(f"version {version}, here it is {wire.VERSION}")
+                self._challenge = nonce
+                self.send(wire.Hello(
+                    wire.VERSION, "forwarder", links.name, links.index, links.config.forwarders, self._nonce,
+                    wire.proof(links.config.secret, "peer", nonce, self._nonce, links.name),
+                    tuple(links.holder.epochs().items())))
+            case wire.Welcome(planner, proof):
+                if planner != self._link.name:
+                    raise wire.WireError(f"it is {planner[:64]!r}")
+                secret = links.config.secret
+                if not wire.proved(secret, "planner", self._nonce, self._challenge, planner, proof):
+                    raise wire.WireError("the secret is wrong")
+                self.open = True
+                self._framer.most = wire.MOST_FRAME
+                self._link.opened()
+            case wire.Refused(why):
+                raise wire.WireError(f"refused: {why[:200]}")
+            case _:
+                raise wire.WireError(f"a {type(message).__name__} at the opening")
+
+    def drop(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+
+
+class _Link:
+    """The way to one planner, connected again and again."""
+
+    def __init__(self, links: Links, name: str, where: tuple[str, int]) -> None:
+        self.links, self.name, self._where = links, name, where
+        self.line: _Line | None = None
+        self._pause = BACKOFF
+        self._complaint = ""
+        self._task: asyncio.Task[None] | None = None
+        self._timer: asyncio.TimerHandle | None = None
+
+    def start(self) -> None:
+        self._task = asyncio.get_running_loop().create_task(self._connect())
+
+    async def _connect(self) -> None:
+        line = self.line = _Line(self)
+        host, port = self._where
+        try:
+            async with asyncio.timeout(CONNECT):
+                context = self.links.config.tls.client() if self.links.config.tls else None
+                await asyncio.get_running_loop().create_connection(lambda: line, host, port, ssl=context)
+        except (OSError, TimeoutError) as error:
+            self.lost(line, f"cannot connect: {error or 'timed out'}")
+
+    def opened(self) -> None:
+        self._pause = BACKOFF
+        if self._complaint:
+            log.info("planner %s: back", self.name)
+        self._complaint = ""
+
+    def complain(self, why: str) -> None:
+        """Log what is wrong, once until the planner is back."""
+        if why != self._complaint:
+            log.warning("planner %s: %s", self.name, why)
+        self._complaint = why
+
+    def lost(self, line: _Line, why: str) -> None:
+        if line is not self.line:
+            return
+        self.line = None
+        if not self._complaint:
+            self.complain(why)
+        self.links.lost(self.name)
+        # Spread out: all forwarders lose a planner at the same moment.
+        pause = self._pause * random.uniform(0.5, 1.5)
+        self._timer = asyncio.get_running_loop().call_later(pause, self.start)
+        self._pause = min(LONGEST_BACKOFF, 2 * self._pause)
+
+    def stop(self) -> None:
+        for handle in (self._task, self._timer):
+            if handle is not None:
+                handle.cancel()
+        line, self.line = self.line, None
+        if line is not None:
+            line.drop()
+
+
+class Links:
+    """All of a forwarder's links."""
+
+    def __init__(self, name: str, index: int, config: PlannersConfig, decisions: Decisions,
+                 born: float) -> None:
+        self.name, self.index, self.config, self._decisions = name, index, config, decisions
+        shards = config.terms.shards
+        cache: dict[str, int] = {}
+
+        def shard(key: str) -> int:
+            found = cache.get(key)
+            if found is None:
+                if len(cache) > 65536:
+                    cache.clear()
+                found = cache[key] = shard_of(key, shards)
+            return found
+
+        self.holder = Holder(config.terms, index, config.forwarders, born,
+                             first_session=random.getrandbits(52), shard_of=shard)
+        self._demands = Demands(born)
+        self._links = {planner: _Link(self, planner, where) for planner, where in config.planners.items()}
+        self._owned: dict[str, set[int]] = {}
+        self._surveyed = 0.0
+        self.sent = self.received = 0  # bytes
+        self._timer: asyncio.TimerHandle | None = None
+        self._soon = False
+
+    @staticmethod
+    def now() -> float:
+        """This forwarder's clock, read anew at each look, also after a pause."""
+        return time.monotonic()
+
+    def start(self) -> None:
+        """Connect to all planners."""
+        self._loop = asyncio.get_running_loop()
+        for link in self._links.values():
+            link.start()
+        self._tick()
+
+    def stop(self) -> None:
+        """Close all links."""
+        if self._timer is not None:
+            self._timer.cancel()
+        for link in self._links.values():
+            link.stop()
+
+    @property
+    def open(self) -> int:
+        """How many planners can be spoken to."""
+        return sum(link.line is not None and link.line.open for link in self._links.values())
+
+    async def ready(self) -> None:
+        """Wait until what an earlier life of this forwarder may have lent is surely back."""
+        while not self.holder.ready(self.now()):
+            await asyncio.sleep(0.05)
+
+    def take(self, planner: str, message: wire.Message) -> None:
+        """A planner has said something."""
+        now = self.now()
+        match message:
+            case Word():
+                check(message, self.config.forwarders, self.config.terms.entries)
+                if self.holder.word(now, planner, message) and (message.calls or message.grants):
+                    self._flush_soon()
+            case wire.Owned(shards):
+                owned = {shard for shard, _ in shards}
+                for shard in self._owned.get(planner, set()) - owned:
+                    self.holder.disowns(now, planner, shard)
+                self._owned[planner] = owned
+                for shard, epoch in shards:
+                    self.holder.owns(now, planner, shard, epoch)
+            case Again(shard, session):
+                self.holder.again(now, planner, shard, session)
+            case wire.Refused(why):
+                raise wire.WireError(f"refused: {why[:200]}")
+            case _:
+                raise wire.WireError(f"a {type(message).__name__} from a planner")
+
+    def lost(self, planner: str) -> None:
+        """A planner's connection has ended."""
+        self._owned.pop(planner, None)
+        self.holder.lost(self.now(), planner)
+
+    def _flush_soon(self) -> None:
+        """Answer what a planner said in this round of the loop, once."""
+        if not self._soon:
+            self._soon = True
+            self._loop.call_soon(self._flush)
+
+    def _flush(self) -> None:
+        """Carry shares to the decisions, and reports to the planners.
+
+        What is lent must be out of use here before a planner hears of it: so shares go first.
+        """
+        self._soon = False
+        now = self.now()
+        blocked = {name for name, link in self._links.items()
+                   if link.line is None or not link.line.open or link.line.blocked}
+        reports = self.holder.reports(now, blocked)
+        for event in [*self.holder.moves(now), *self.holder.ended(now)]:
+            self._decisions.shares(event)
+        for planner, report in reports:
+            line = self._links[planner].line
+            if line is not None:
+                line.send(report)
+
+    def _tick(self) -> None:
+        self._timer = self._loop.call_later(TICK, self._tick)
+        now = self.now()
+        if now - self._surveyed >= self.config.terms.interval / 2:
+            self._surveyed = now
+            self.holder.demand(now, self._demands.survey(now, self._decisions.survey()))
+        self._flush()
+        for link in self._links.values():
+            line = link.line
+            if line is None or not line.open:
+                continue
+            if now - line.heard > SILENT:
+                link.complain("silent")
+                line.drop()
+            elif now - line.sent_at > PULSE and not line.blocked:
+                line.send(wire.Pulse(tuple(self.holder.epochs().items())))
--- /dev/null
+++ b/oliveloft/planners/status.py
@@ -0,0 +1,108 @@
+"""`python -m oliveloft planners status`: asks each planner, and shows who owns what."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import sys
+from typing import Any
+
+from oliveloft.gatekeeper.config import ConfigError
+from oliveloft.planners import wire
+from oliveloft.planners.config import PlannersConfig, load
+
+PATIENCE = 2.0  # seconds for a planner to answer
+
+
+async def ask(name: str, config: PlannersConfig) -> dict[str, Any]:
+    """One planner's state; WireError or OSError where it can't be had."""
+    host, port = config.planners[name]
+    context = config.tls.client() if config.tls else None
+    async with asyncio.timeout(PATIENCE):
+        reader, writer = await asyncio.open_connection(host, port, ssl=context)
+        framer = wire.Framer()
+        framer.most = 16 * 1024 * 1024
+        nonce, challenge = wire.nonce(), b""
+        try:
+            while data := await reader.read(65536):
+                for message in framer.feed(data):
+                    match message:
+                        case wire.Challenge(_, theirs):
+                            challenge = theirs
+                            proof = wire.proof(config.secret, "peer", theirs, nonce, "status")
+                            writer.write(wire.encode(wire.Hello(
+                                wire.VERSION, "status", "status", 0, config.forwarders, nonce, proof)))
+                        case wire.Welcome(planner, proof):
+                            if not wire.proved(config.secret, "planner", nonce, challenge, planner, proof):
+                                raise wire.WireError("the secret is wrong")
+                        case wire.Status(state):
+                            made: dict[str, Any] = json.loads(state)
+                            return made
+                        case wire.Refused(why):
+                            raise wire.WireError(f"refused: {why}")
+                        case _:
+                            raise wire.WireError(f"a {type(message).__name__}")
+        finally:
+            writer.close()
+    raise wire.WireError("the connection was closed")
+
+
+async def gather(config: PlannersConfig) -> dict[str, dict[str, Any]]:
+    """All planners' states; one that can't be asked has an `error`."""
+    async def one(name: str) -> dict[str, Any]:
+        try:
+            return await ask(name, config)
+        except (OSError, wire.WireError, TimeoutError) as error:
+            return {"planner": name, "error": str(error) or "no answer in time"}
+    states = await asyncio.gather(*(one(name) for name in config.planners))
+    return dict(zip(config.planners, states, strict=True))
+
+
+def table(states: dict[str, dict[str, Any]], shards: int) -> str:
+    """The states as a person reads them."""
+    lines = [f"{'planner':12} {'shards':>7} {'epochs':>12} {'things':>7} {'up s':>8}  store"]
+    covered: set[str] = set()
+    forwarders: dict[str, dict[str, Any]] = {}
+    for name, state in states.items():
+        if "error" in state:
+            lines.append(f"{name:12} {'-':>7} {'-':>12} {'-':>7} {'-':>8}  not reached: {state['error']}")
+            continue
+        owned = state["shards"]
+        covered |= owned.keys()
+        epochs = [shard["epoch"] for shard in owned.values()]
+        span = f"{min(epochs)} to {max(epochs)}" if epochs else "-"
+        things = sum(shard["things"] for shard in owned.values())
+        lines.append(f"{name:12} {len(owned):7} {span:>12} {things:7} {state['up_s']:8.0f}  {state['store']}")
+        for forwarder, entry in state["forwarders"].items():
+            seen = forwarders.setdefault(
+                forwarder, {"planners": 0, "report_s": None, "grants": 0, "granted": 0.0})
+            seen["planners"] += entry["number"] is not None
+            seen["grants"] += entry["grants"]
+            seen["granted"] += entry["granted"]
+            ages = [age for age in (seen["report_s"], entry["report_s"]) if age is not None]
+            seen["report_s"] = min(ages, default=None)
+    lines.append(f"shards with an owner that answers: {len(covered)} of {shards}")
+    if forwarders:
+        lines.append(f"{'forwarder':12} {'planners':>9} {'last report':>12} {'grants':>7} {'wholes':>8}")
+    for forwarder, seen in sorted(forwarders.items()):
+        age = "-" if seen["report_s"] is None else f"{seen['report_s']:.2f} s"
+        lines.append(f"{forwarder:12} {seen['planners']:9} {age:>12} {seen['grants']:7} "
+                     f"{seen['granted']:8.2f}")
+    return "\n".join(lines)
+
+
+def main(file: str, as_json: bool) -> int:
+    """Print the state: 0 where all shards are owned by planners that answer, 1 where not, 2 for a bad
+    file."""
+    try:
+        config = load(file)
+    except ConfigError as error:
+        print(f"oliveloft: {error}", file=sys.stderr)
+        return 2
+    states = asyncio.run(gather(config))
+    if as_json:
+        print(json.dumps(states))
+    else:
+        print(table(states, config.terms.shards))
+    owned = {shard for state in states.values() for shard in state.get("shards", {})}
+    return 0 if len(owned) == config.terms.shards else 1
--- /dev/null
+++ b/oliveloft/store/__init__.py
@@ -0,0 +1,1 @@
+"""Where planners agree on who plans what: a store with compare-and-set, leases and watch, such as etcd."""
--- /dev/null
+++ b/oliveloft/store/etcd.py
@@ -0,0 +1,163 @@
+"""etcd v3 by its JSON gateway (etcd's documentation, "gRPC gateway"): over HTTP, each request one POST."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+from collections.abc import AsyncIterator, Mapping, Sequence
+from typing import Any
+
+import aiohttp
+
+from oliveloft.store.interface import Change, Compacted, Entry, Put, Snapshot, StoreError
+
+MOST = 4 * 1024 * 1024  # bytes of an answer or of a line of a watch
+
+
+def _text(raw: str) -> str:
+    return base64.b64decode(raw).decode()
+
+
+def _coded(text: str) -> str:
+    return base64.b64encode(text.encode()).decode()
+
+
+def _after(prefix: str) -> str:
+    """The first key that comes after all that begin so."""
+    raw = prefix.encode()
+    return base64.b64encode(raw[:-1] + bytes([raw[-1] + 1])).decode()
+
+
+class Etcd:
+    """A client of one etcd cluster: each call goes to the endpoint that last answered, then to the others."""
+
+    def __init__(self, endpoints: Sequence[str], timeout: float = 1.0) -> None:
+        if not endpoints:
+            raise ValueError("endpoints must not be empty")
+        self._endpoints = list(endpoints)
+        self._timeout = timeout
+        self._session: aiohttp.ClientSession | None = None
+
+    def _client(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            self._session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=32))
+        return self._session
+
+    async def _post(self, path: str, body: dict[str, Any], repeat: bool = False) -> dict[str, Any]:
+        """A call; only one that may be repeated goes to another endpoint after it may have been done."""
+        why = "no endpoint"
+        for endpoint in list(self._endpoints):
+            try:
+                async with self._client().post(
+                        endpoint + path, json=body,
+                        timeout=aiohttp.ClientTimeout(total=self._timeout)) as answer:
+                    raw = await answer.content.read(MOST)
+                    made = json.loads(raw)
+                    if answer.status != 200:
+                        raise StoreError(f"{path}: {answer.status} {str(made)[:200]}")
+                    if not isinstance(made, dict):
+                        raise StoreError(f"{path}: no object")
+                    if endpoint != self._endpoints[0]:
+                        self._endpoints.remove(endpoint)
+                        self._endpoints.insert(0, endpoint)
+                    return made
+            except aiohttp.ClientConnectorError as error:
+                why = str(error)  # nothing was sent
+            except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+                why = f"{type(error).__name__} {error}".strip()
+                if not repeat:
+                    break
+        raise StoreError(f"{path}: {why}")
+
+    async def lease(self, seconds: float) -> int:
+        """A new lease (etcd lengthens very short ones)."""
+        made = await self._post("/v3/lease/grant", {"TTL": str(max(1, round(seconds)))})
+        try:
+            return int(made["ID"])
+        except (KeyError, ValueError) as error:
+            raise StoreError(f"lease: {made}") from error
+
+    async def renew(self, lease: int) -> float:
+        """Renew a lease."""
+        made = await self._post("/v3/lease/keepalive", {"ID": str(lease)}, repeat=True)
+        result = made.get("result")
+        if not isinstance(result, dict):
+            raise StoreError(f"keepalive: {made}")
+        return float(result.get("TTL", 0))
+
+    async def revoke(self, lease: int) -> None:
+        """End a lease."""
+        await self._post("/v3/lease/revoke", {"ID": str(lease)}, repeat=True)
+
+    async def read(self, prefix: str) -> Snapshot:
+        """All keys that begin so."""
+        body = {"key": _coded(prefix), "range_end": _after(prefix)}
+        made = await self._post("/v3/kv/range", body, repeat=True)
+        try:
+            entries = tuple(Entry(_text(kv["key"]), _text(kv.get("value", "")), int(kv["mod_revision"]))
+                            for kv in made.get("kvs", ()))
+            return Snapshot(int(made["header"]["revision"]), entries)
+        except (KeyError, ValueError, TypeError) as error:
+            raise StoreError(f"range: {error!r}") from error
+
+    async def commit(self, expect: Mapping[str, int], puts: Sequence[Put] = (),
+                     deletes: Sequence[str] = ()) -> int | None:
+        """Write all or nothing."""
+        compare = [{"key": _coded(key), "target": "MOD", "result": "EQUAL", "mod_revision": str(modified)}
+                   for key, modified in expect.items()]
+        success: list[dict[str, Any]] = [
+            {"request_put": {"key": _coded(put.key), "value": _coded(put.value), "lease": str(put.lease)}}
+            for put in puts]
+        success += [{"request_delete_range": {"key": _coded(key)}} for key in deletes]
+        made = await self._post("/v3/kv/txn", {"compare": compare, "success": success})
+        try:
+            return int(made["header"]["revision"]) if made.get("succeeded") else None
+        except (KeyError, ValueError, TypeError) as error:
+            raise StoreError(f"txn: {error!r}") from error
+
+    async def watch(self, prefix: str, after: int) -> AsyncIterator[list[Change]]:
+        """The changes under a prefix after a revision."""
+        body = {"create_request": {"key": _coded(prefix), "range_end": _after(prefix),
+                                   "start_revision": str(after + 1), "progress_notify": True}}
+        why = "no endpoint"
+        for endpoint in list(self._endpoints):
+            try:
+                async with self._client().post(
+                        endpoint + "/v3/watch", json=body, read_bufsize=MOST,
+                        timeout=aiohttp.ClientTimeout(total=None, sock_connect=self._timeout)) as answer:
+                    if answer.status != 200:
+                        raise StoreError(f"watch: {answer.status}")
+                    async for line in answer.content:
+                        changes = self._changes(line)
+                        if changes:
+                            yield changes
+                raise StoreError("watch: ended")
+            except aiohttp.ClientConnectorError as error:
+                why = str(error)
+            except (aiohttp.ClientError, TimeoutError, ValueError, asyncio.IncompleteReadError) as error:
+                raise StoreError(f"watch: {error!r}") from error
+        raise StoreError(f"watch: {why}")
+
+    @staticmethod
+    def _changes(line: bytes) -> list[Change]:
+        raw = json.loads(line)
+        result = raw.get("result") if isinstance(raw, dict) else None
+        if not isinstance(result, dict):
+            raise StoreError(f"watch: {str(raw)[:200]}")
+        if result.get("canceled"):
+            if int(result.get("compact_revision", 0)):
+                raise Compacted("watch: the revision is compacted")
+            raise StoreError(f"watch: {result.get('cancel_reason', 'cancelled')}")
+        changes = []
+        for event in result.get("events", ()):
+            kv = event["kv"]
+            value = None if event.get("type") == "DELETE" else _text(kv.get("value", ""))
+            changes.append(Change(_text(kv["key"]), value, int(kv["mod_revision"])))
+        return changes
+
+    async def close(self) -> None:
+        """Give up all connections."""
+        if self._session is not None:
+            await self._session.close()
+            self._session = None
--- a/rig/demo.py
+++ b/rig/demo.py
@@ -3,37 +3,19 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import signal
 import statistics
 import sys
 from collections.abc import Callable
-from pathlib import Path
 from random import Random
-from typing import Any
 
-from rig.capacity import Capacity
-from rig.modelled import Meter, ModelledWorker, Record
-from rig.scripted import Discovery, Gatekeeper, launch
+from micagate.planning.terms import Terms
+from rig.installation import Installation
 from rig.traffic import Customer, PlanShape, Traffic
 
-EXAMPLE = Path(__file__).parents[1] / "deploy" / "example.json"
 SERVICE = 0.02  # seconds of a core that a unit takes
 
 
-def example(gatekeepers: int, discovery: int, name: str) -> dict[str, Any]:
-    """The example configuration, at addresses of the system's choice."""
-    made: dict[str, Any] = json.loads(EXAMPLE.read_text())
-    made.update(name=name, listen="127.0.0.1:0", discovery=f"127.0.0.1:{discovery}")
-    made["settings"]["NInstances"] = gatekeepers
-    return made
-
-
-def shapes(settings: dict[str, Any]) -> dict[str, PlanShape]:
-    """What the plans of a configuration's settings grant."""
-    return {p["Name"]: PlanShape(p["Refill"], p["MostAtOnce"]) for p in settings["Plans"]}
-
-
 def customers(rate: float, plans: dict[str, PlanShape], gatekeepers: int, seed: int) -> list[Customer]:
     """Some thirty customers, together at this rate; one in six asks for far more than its plan grants."""
     random = Random(seed)
@@ -56,33 +38,24 @@
     return made
 
 
-async def play(workers: int, gatekeepers: int, rate: float, seconds: float | None, seed: int,
+async def play(workers: int, gatekeepers: int, rate: float, seconds: float | None, seed: int, planners: int,
                say: Callable[[str], None]) -> dict[str, int]:
     """Run the demo until it is told to stop or the seconds are over; how many requests ended how."""
-    settings = json.loads(EXAMPLE.read_text())["settings"]
-    plans = shapes(settings)
-    record = Record()
-    meter = Meter({name: plan.rate for name, plan in plans.items()})
-    fleet = [await ModelledWorker(f"worker-{n + 1}", Capacity(cores=2, queue=24, thrash=0.05), SERVICE, seed,
-                                  zone="abc"[n % 3], meter=meter, record=record).start()
-             for n in range(workers)]
-    discovery = await Discovery([worker.entry() for worker in fleet]).start()
-    gates: list[Gatekeeper] = []
-    try:
-        for n in range(gatekeepers):
-            gate = await launch(example(gatekeepers, discovery.port, f"g{n + 1}"))
-            gates.append(gate)
-            if gate.port == 0:
-                raise RuntimeError("a gatekeeper did not start: " + "".join(gate.log).strip())
-        for gate in gates:
-            while await gate.health() != 200:
-                await asyncio.sleep(0.02)
-        say(f"{workers} workers at {', '.join(str(w.port) for w in fleet)}; discovery at {discovery.port}; "
-            f"gatekeepers at {', '.join(f'127.0.0.1:{g.port}' for g in gates)}")
+    fleet = Installation(gatekeepers, planners, workers, service=SERVICE, seed=seed, terms=Terms())
+    if planners:
+        say(f"starting; gatekeepers that follow planners wait {fleet.terms.term:g} s before they serve")
+    async with fleet:
+        say(f"{workers} workers at {', '.join(str(w.port) for w in fleet.workers)}; discovery at "
+            f"{fleet.discovery.port}; gatekeepers at {', '.join(f'127.0.0.1:{p}' for p in fleet.ports)}")
+        if planners:
+            endpoint = fleet.store.endpoint if fleet.store else ""
+            file = fleet.planners_file(fleet.planner_ports, endpoint, "demo")
+            say(f"planners at {', '.join(map(str, fleet.planner_ports.values()))}; look at them with: "
+                f"python -m oliveloft planners status --config {file}")
         say("ask it yourself: curl -i -H 'X-Request-ID: me1' -H 'X-Priority-Class: read' -H 'X-Tariff: solo' "
             "-H 'X-Timeout: 1.0' -H 'X-Weight: units=1,spread=1,first=0' "
-            f"'http://127.0.0.1:{gates[0].port}/read?customer=00000000000000ff'")
-        load = Traffic([gate.port for gate in gates], customers(rate, plans, gatekeepers, seed), plans, seed,
+            f"'http://127.0.0.1:{fleet.ports[0]}/read?customer=00000000000000ff'")
+        load = Traffic(fleet.ports, customers(rate, fleet.plans, gatekeepers, seed), fleet.plans, seed,
                        timeout=1.5, aim=0.4)
         loop, stop = asyncio.get_running_loop(), asyncio.Event()
         for sign in (signal.SIGINT, signal.SIGTERM):
@@ -102,27 +75,19 @@
             median = f"{1000 * statistics.median(load.report.waits):.0f} ms" if load.report.waits else "-"
             say(f"{number:7} {ends['served']:7} {ends['late']:6} {ends['refused']:8} {ends['failed']:7} "
                 f"{median:>9}   {sum(totals.values())} ended; twice begun "
-                f"{sum(n > 1 for n in record.begun.values())}")
+                f"{sum(n > 1 for n in fleet.record.begun.values())}")
         await load.settle()
         for how in totals:
             totals[how] += load.latest[how]
         say("in all: " + ", ".join(f"{count} {how}" for how, count in totals.items()))
         return totals
-    finally:
-        for gate in gates:
-            if gate.process.returncode is None:
-                gate.process.terminate()
-        for gate in gates:
-            await gate.process.wait()
-        discovery.stop()
-        for worker in fleet:
-            worker.stop()
 
 
-def main(workers: int, gatekeepers: int, rate: float, seconds: float | None, seed: int) -> int:
+def main(workers: int, gatekeepers: int, rate: float, seconds: float | None, seed: int, planners: int) -> int:
     """Run the demo; 1 where a part of it did not start."""
     try:
-        asyncio.run(play(workers, gatekeepers, rate, seconds, seed, lambda line: print(line, flush=True)))
+        asyncio.run(play(workers, gatekeepers, rate, seconds, seed, planners,
+                         lambda line: print(line, flush=True)))
     except (OSError, RuntimeError) as error:
         print(f"demo: {error}", file=sys.stderr)
         return 1
--- /dev/null
+++ b/rig/etcd.py
@@ -0,0 +1,230 @@
+"""A stand-in for etcd: one process, in memory, the part of the v3 JSON gateway that the planners use.
+
+It keeps nothing over a restart, and one process has no replicas: good for trying out, for tests and as the
+embedded default on one machine; for more, run etcd itself. Faults on command: slow, unreachable, emptied.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import contextlib
+import itertools
+import json
+from dataclasses import dataclass
+from typing import Any
+
+from aiohttp import web
+
+KEPT = 4096  # changes that a watch can begin in
+LEAST_TTL = 1
+
+
+@dataclass(slots=True)
+class _Key:
+    value: bytes
+    created: int
+    modified: int
+    version: int
+    lease: int
+
+
+@dataclass(slots=True)
+class _Lease:
+    ttl: float
+    ends: float
+
+
+class EtcdStandIn:
+    """Listens at a port of the system's choice, or at the one given."""
+
+    def __init__(self, port: int = 0) -> None:
+        self.port = port
+        self.delay = 0.0  # seconds before each call is looked at
+        self.down = False  # connections are closed unanswered
+        self._clear()
+        self._ids = itertools.count(7587_000_001)
+        self._runner: web.AppRunner | None = None
+        self._task: asyncio.Task[None] | None = None
+
+    def _clear(self) -> None:
+        self._revision = 1
+        self._keys: dict[bytes, _Key] = {}
+        self._leases: dict[int, _Lease] = {}
+        self._log: list[dict[str, Any]] = []  # changes, as a watch tells them
+        self._news = asyncio.Event()
+        self._generation = getattr(self, "_generation", 0) + 1
+
+    def wipe(self) -> None:
+        """Come back as another, empty store: keys, leases and revisions are gone, watches end."""
+        news = self._news
+        self._clear()
+        news.set()
+
+    @property
+    def endpoint(self) -> str:
+        """Its address for clients."""
+        return f"http://127.0.0.1:{self.port}"
+
+    async def start(self) -> EtcdStandIn:
+        """Listen."""
+        app = web.Application(client_max_size=4 * 1024 * 1024)
+        for path, call in (("/v3/kv/range", self._range), ("/v3/kv/txn", self._txn),
+                           ("/v3/lease/grant", self._grant), ("/v3/lease/keepalive", self._keepalive),
+                           ("/v3/lease/revoke", self._revoke)):
+            app.router.add_post(path, self._handler(call))
+        app.router.add_post("/v3/watch", self._watch)
+        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, "127.0.0.1", self.port)
+        await site.start()
+        self.port = self._runner.addresses[0][1]
+        self._task = asyncio.create_task(self._expire())
+        return self
+
+    async def stop(self) -> None:
+        """Listen no more."""
+        if self._task is not None:
+            self._task.cancel()
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    def _handler(self, call: Any) -> Any:
+        async def handle(request: web.Request) -> web.Response:
+            await self._faults(request)
+            try:
+                return web.json_response(call(await request.json()))
+            except (ValueError, KeyError, TypeError) as error:
+                return web.json_response({"error": str(error), "code": 3}, status=400)
+        return handle
+
+    async def _faults(self, request: web.Request) -> None:
+        if self.delay:
+            await asyncio.sleep(self.delay)
+        if self.down and request.transport is not None:
+            request.transport.abort()
+            raise web.HTTPServiceUnavailable
+
+    async def _expire(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(0.05)
+            for number in [n for n, lease in self._leases.items() if lease.ends <= loop.time()]:
+                self._end(number)
+
+    def _end(self, number: int) -> None:
+        del self._leases[number]
+        gone = [key for key, held in self._keys.items() if held.lease == number]
+        if gone:
+            self._revision += 1
+            for key in gone:
+                self._delete(key)
+
+    # Calls.
+
+    def _header(self) -> dict[str, Any]:
+        return {"cluster_id": "1", "member_id": "1", "revision": str(self._revision), "raft_term": "2"}
+
+    def _told(self, key: bytes, held: _Key) -> dict[str, Any]:
+        return {"key": base64.b64encode(key).decode(), "value": base64.b64encode(held.value).decode(),
+                "create_revision": str(held.created), "mod_revision": str(held.modified),
+                "version": str(held.version), "lease": str(held.lease)}
+
+    def _range(self, body: dict[str, Any]) -> dict[str, Any]:
+        start = base64.b64decode(body["key"])
+        end = base64.b64decode(body["range_end"]) if body.get("range_end") else start + b"\0"
+        found = [self._told(key, held) for key, held in sorted(self._keys.items()) if start <= key < end]
+        return {"header": self._header(), "kvs": found, "count": str(len(found))}
+
+    def _txn(self, body: dict[str, Any]) -> dict[str, Any]:
+        for compare in body.get("compare", ()):
+            if compare.get("target") != "MOD" or compare.get("result", "EQUAL") != "EQUAL":
+                raise ValueError("only MOD EQUAL is compared here")
+            held = self._keys.get(base64.b64decode(compare["key"]))
+            if (held.modified if held else 0) != int(compare.get("mod_revision", 0)):
+                return {"header": self._header(), "succeeded": False}
+        operations = body.get("success", ())
+        for operation in operations:
+            lease = int(operation.get("request_put", {}).get("lease", 0))
+            if lease and lease not in self._leases:
+                raise ValueError("etcdserver: requested lease not found")
+        if operations:
+            self._revision += 1
+        for operation in operations:
+            if "request_put" in operation:
+                put = operation["request_put"]
+                self._put(base64.b64decode(put["key"]), base64.b64decode(put.get("value", "")),
+                          int(put.get("lease", 0)))
+            elif "request_delete_range" in operation:
+                self._delete(base64.b64decode(operation["request_delete_range"]["key"]))
+            else:
+                raise ValueError(f"unknown operation {list(operation)}")
+        return {"header": self._header(), "succeeded": True}
+
+    def _put(self, key: bytes, value: bytes, lease: int) -> None:
+        before = self._keys.get(key)
+        held = self._keys[key] = _Key(value, before.created if before else self._revision, self._revision,
+                                      before.version + 1 if before else 1, lease)
+        self._tell({"kv": self._told(key, held)}, key)
+
+    def _delete(self, key: bytes) -> None:
+        if self._keys.pop(key, None) is not None:
+            self._tell({"type": "DELETE", "kv": {"key": base64.b64encode(key).decode(),
+                                                 "mod_revision": str(self._revision)}}, key)
+
+    def _tell(self, event: dict[str, Any], key: bytes) -> None:
+        self._log.append({"revision": self._revision, "key": key, "event": event})
+        del self._log[:-KEPT]
+        news, self._news = self._news, asyncio.Event()
+        news.set()
+
+    def _grant(self, body: dict[str, Any]) -> dict[str, Any]:
+        number = int(body.get("ID", 0)) or next(self._ids)
+        ttl = max(LEAST_TTL, int(body["TTL"]))
+        self._leases[number] = _Lease(ttl, asyncio.get_running_loop().time() + ttl)
+        return {"header": self._header(), "ID": str(number), "TTL": str(ttl)}
+
+    def _keepalive(self, body: dict[str, Any]) -> dict[str, Any]:
+        number = int(body["ID"])
+        lease = self._leases.get(number)
+        if lease is None:
+            return {"result": {"header": self._header(), "ID": str(number)}}
+        lease.ends = asyncio.get_running_loop().time() + lease.ttl
+        return {"result": {"header": self._header(), "ID": str(number), "TTL": str(int(lease.ttl))}}
+
+    def _revoke(self, body: dict[str, Any]) -> dict[str, Any]:
+        number = int(body["ID"])
+        if number not in self._leases:
+            raise ValueError("etcdserver: requested lease not found")
+        self._end(number)
+        return {"header": self._header()}
+
+    async def _watch(self, request: web.Request) -> web.StreamResponse:
+        await self._faults(request)
+        asked = (await request.json())["create_request"]
+        start, end = base64.b64decode(asked["key"]), base64.b64decode(asked["range_end"])
+        revision = int(asked.get("start_revision", 0)) or self._revision + 1
+        response = web.StreamResponse()
+        await response.prepare(request)
+        generation = self._generation
+
+        async def tell(result: dict[str, Any]) -> None:
+            line = json.dumps({"result": {"header": self._header(), **result}})
+            await response.write(line.encode() + b"\n")
+
+        with contextlib.suppress(ConnectionError):
+            if self._log and len(self._log) >= KEPT and revision < self._log[0]["revision"]:
+                await tell({"canceled": True, "compact_revision": str(self._log[0]["revision"])})
+                return response
+            await tell({"created": True})
+            while generation == self._generation:
+                news = self._news
+                found = [entry for entry in self._log
+                         if entry["revision"] >= revision and start <= entry["key"] < end]
+                if found and not self.down:
+                    await tell({"events": [entry["event"] for entry in found]})
+                    revision = found[-1]["revision"] + 1
+                await news.wait()
+            if request.transport is not None:
+                request.transport.abort()
+        return response
--- /dev/null
+++ b/rig/installation.py
@@ -0,0 +1,224 @@
+"""A whole installation on loopback: workers, discovery, gatekeepers, and planners with their store.
+
+Workers, discovery and a stand-in store live in this process; gatekeepers and planners are the real program in
+processes of their own. With `proxied`, each forwarder's way to each planner, and each planner's to the store,
+is a link that can be broken.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import copy
+import json
+import shutil
+import socket
+import tempfile
+from pathlib import Path
+from typing import Any
+
+from micagate.planning.terms import Terms
+from oliveloft.planners.config import PlannersConfig, load
+from oliveloft.store.etcd import Etcd
+from oliveloft.store.interface import StoreError
+from rig.capacity import Capacity
+from rig.etcd import EtcdStandIn
+from rig.faults import FaultProxy
+from rig.modelled import Meter, ModelledWorker, Record
+from rig.scripted import Discovery, Gatekeeper, spawn
+from rig.traffic import PlanShape
+
+EXAMPLE = Path(__file__).parents[1] / "deploy" / "example.json"
+QUICK = Terms(life=0.6, term=1.4, interval=0.1)  # for tests: what takes seconds takes a third of them
+
+
+def free_port() -> int:
+    """A port that nobody listens at just now."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        port: int = sock.getsockname()[1]
+        return port
+
+
+class RealEtcd:
+    """etcd itself, one member, in a process of its own with an empty folder."""
+
+    @staticmethod
+    def there() -> bool:
+        """Whether its binary is on this machine."""
+        return shutil.which("etcd") is not None
+
+    async def start(self) -> RealEtcd:
+        """Start, and wait until it answers."""
+        self._folder = tempfile.TemporaryDirectory()
+        self.endpoint, peer = (f"http://127.0.0.1:{free_port()}" for _ in range(2))
+        self.process = await asyncio.create_subprocess_exec(
+            "etcd", "--data-dir", self._folder.name, "--listen-client-urls", self.endpoint,
+            "--advertise-client-urls", self.endpoint, "--listen-peer-urls", peer,
+            "--initial-advertise-peer-urls", peer, "--initial-cluster", f"default={peer}",
+            "--log-level", "error", stdout=asyncio.subprocess.DEVNULL, stderr=asyncio.subprocess.DEVNULL)
+        client = Etcd([self.endpoint])
+        while True:
+            with contextlib.suppress(StoreError):
+                await client.read("/")
+                break
+            await asyncio.sleep(0.05)
+        await client.close()
+        return self
+
+    async def stop(self) -> None:
+        """End it."""
+        self.process.kill()
+        await self.process.wait()
+        self._folder.cleanup()
+
+
+class Installation:
+    """All of it; an async context, which ends every process that it started."""
+
+    def __init__(self, forwarders: int = 2, planners: int = 0, workers: int = 3,
+                 capacity: Capacity | None = None, service: float = 0.01, terms: Terms = QUICK,
+                 plans: list[dict[str, Any]] | None = None, seed: int = 1, proxied: bool = False,
+                 etcd: bool = False, sockets: int = 1024, session: float = 1.0,
+                 settings: dict[str, Any] | None = None) -> None:
+        self.count, self.terms, self.seed, self.proxied = forwarders, terms, seed, proxied
+        self.sockets, self.session = sockets, session
+        made: dict[str, Any] = json.loads(EXAMPLE.read_text())
+        made["settings"]["NInstances"] = forwarders
+        if plans is not None:
+            usual = {**made["settings"]["Plans"][0], "HardRate": 0, "CapDepth": 0}
+            made["settings"]["Plans"] = [{**usual, **plan} for plan in plans]
+        for key, value in (settings or {}).items():
+            if isinstance(value, dict):
+                made["settings"][key].update(value)
+            else:
+                made["settings"][key] = value
+        self.settings: dict[str, Any] = made["settings"]
+        self._example = made
+        self.plans = {p["Name"]: PlanShape(p["Refill"], p["MostAtOnce"]) for p in self.settings["Plans"]}
+        self.record = Record()
+        self.meter = Meter({name: plan.rate for name, plan in self.plans.items()})
+        model = capacity or Capacity(cores=2, queue=24, thrash=0.05)
+        self.workers = [ModelledWorker(f"worker-{n + 1}", model, service, seed, zone="abc"[n % 3],
+                                       meter=self.meter, record=self.record)
+                        for n in range(workers)]
+        self.names = [f"p{n + 1}" for n in range(planners)]
+        self.planner_ports = {name: free_port() for name in self.names}
+        self.forwarders: list[Gatekeeper] = []
+        self.planners: dict[str, Gatekeeper] = {}
+        self.links: dict[tuple[int, str], FaultProxy] = {}  # by forwarder and planner
+        self.store_links: dict[str, FaultProxy] = {}  # by planner
+        self.store: EtcdStandIn | RealEtcd | None = (
+            None if not planners else RealEtcd() if etcd else EtcdStandIn())
+        self._folder = tempfile.TemporaryDirectory()
+        self.secret = "a secret of the installation"
+
+    async def __aenter__(self) -> Installation:
+        """Start all of it."""
+        try:
+            await self._start()
+        except BaseException:
+            await self.__aexit__()
+            raise
+        return self
+
+    async def _start(self) -> None:
+        for worker in self.workers:
+            await worker.start()
+        self.discovery = await Discovery([worker.entry() for worker in self.workers]).start()
+        if self.store is not None:
+            await self.store.start()
+            for name in self.names:
+                await self.plan(name)
+        await asyncio.gather(*(self.forward(n) for n in range(self.count)))
+
+    def planners_file(self, ports: dict[str, int], endpoint: str, name: str, secret: str = "") -> str:
+        """Write a planners' configuration; its path."""
+        folder = Path(self._folder.name)
+        (folder / f"{name}.secret").write_text(secret or self.secret)
+        terms = "\n".join(f"{key} = {getattr(self.terms, key)}" for key in
+                          ("life", "term", "drift", "interval", "entries", "shards"))
+        planners = "\n".join(f'{key} = "127.0.0.1:{port}"' for key, port in ports.items())
+        path = folder / f"{name}.toml"
+        path.write_text(f'[forwarders]\ncount = {self.count}\n[planners]\n{planners}\n'
+                        f'[store]\nengine = "etcd"\nendpoints = ["{endpoint}"]\nsession = {self.session}\n'
+                        f'[access]\nsecret_file = "{name}.secret"\n[terms]\n{terms}\n')
+        return str(path)
+
+    def config(self) -> PlannersConfig:
+        """The planners' configuration with no link between."""
+        assert self.store is not None
+        return load(self.planners_file(self.planner_ports, self.store.endpoint, "plain"))
+
+    async def plan(self, name: str) -> Gatekeeper:
+        """Start a planner, or start it anew."""
+        assert self.store is not None
+        endpoint = self.store.endpoint
+        if self.proxied:
+            if name not in self.store_links:
+                host, _, port = endpoint.removeprefix("http://").rpartition(":")
+                self.store_links[name] = await FaultProxy((host, int(port))).start()
+            endpoint = f"http://{self.store_links[name].address}"
+        file = self.planners_file(self.planner_ports, endpoint, f"planner-{name}")
+        planner = self.planners[name] = await spawn("{}", "plan", "--config", file, "--name", name)
+        await self._listening(planner)
+        return planner
+
+    async def forward(self, number: int) -> Gatekeeper:
+        """Start a forwarder, or start it anew under its old name; with no planners a plain gatekeeper."""
+        made = copy.deepcopy(self._example)
+        made.update(name=f"f{number}", listen="127.0.0.1:0", discovery=f"127.0.0.1:{self.discovery.port}",
+                    seed=f"{self.seed * 1000 + number:x}")
+        made["limits"]["sockets"] = self.sockets
+        words: tuple[str, ...] = ()
+        if self.names:
+            assert self.store is not None
+            ports = dict(self.planner_ports)
+            if self.proxied:
+                for name, port in self.planner_ports.items():
+                    if (number, name) not in self.links:
+                        self.links[number, name] = await FaultProxy(("127.0.0.1", port)).start()
+                    ports[name] = self.links[number, name].port
+            file = self.planners_file(ports, self.store.endpoint, f"forwarder-{number}")
+            words = ("forward", "--number", str(number), "--config", file)
+        gate = await spawn(made, *words)
+        await self._listening(gate)
+        while await gate.health() != 200:
+            await asyncio.sleep(0.02)
+        while len(self.forwarders) <= number:
+            self.forwarders.append(gate)
+        self.forwarders[number] = gate
+        return gate
+
+    @staticmethod
+    async def _listening(gate: Gatekeeper) -> None:
+        told, ended = asyncio.create_task(gate.listening()), asyncio.create_task(gate.process.wait())
+        await asyncio.wait({told, ended}, return_when=asyncio.FIRST_COMPLETED)
+        told.cancel()
+        if not gate.port:
+            await asyncio.sleep(0.05)
+            raise RuntimeError("a process did not start: " + "".join(gate.log).strip())
+        ended.cancel()
+
+    @property
+    def ports(self) -> list[int]:
+        """Where the gatekeepers listen."""
+        return [gate.port for gate in self.forwarders]
+
+    async def __aexit__(self, *_: object) -> None:
+        """End every process, and all that lives here."""
+        processes = [gate.process for gate in [*self.forwarders, *self.planners.values()]]
+        for process in processes:
+            if process.returncode is None:
+                process.kill()
+        for process in processes:
+            await process.wait()
+        for proxy in [*self.links.values(), *self.store_links.values()]:
+            await proxy.stop()
+        if self.store is not None:
+            await self.store.stop()
+        if hasattr(self, "discovery"):
+            self.discovery.stop()
+        for worker in self.workers:
+            worker.stop()
+        self._folder.cleanup()
--- a/rig/planning.py
+++ b/rig/planning.py
@@ -127,6 +127,7 @@
 
     def tick(self) -> None:
         """Send what is due."""
+        self.holder.ended(self.clock.now)
         for planner, report in self.holder.reports(self.clock.now):
             self.world.network.send(self.name, planner, report)
 
--- a/rig/scripted.py
+++ b/rig/scripted.py
@@ -259,7 +259,7 @@
         assert self.process.stderr is not None
         async for line in self.process.stderr:
             self.log.append(line.decode())
-            if found := re.search(r"listens at 127\.0\.0\.1:(\d+)", self.log[-1]):
+            if found := re.search(r"(?:listens|plans) at 127\.0\.0\.1:(\d+)", self.log[-1]):
                 self.port = int(found[1])
                 self._told.set()
 
@@ -303,21 +303,26 @@
             "known": {"index": 1, "snapshot": True, "endpoints": known or []}}
 
 
-async def launch(configuration: object) -> Gatekeeper:
-    """Start the program."""
-    file = Path(tempfile.mkstemp(suffix=".json", dir=FILES.name)[1])
-    file.write_text(configuration if isinstance(configuration, str) else json.dumps(configuration))
-    process = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "oliveloft", env={**os.environ, "PROXY_CONFIG": str(file)},
-        cwd=Path(__file__).parents[1], stderr=asyncio.subprocess.PIPE)
-    gatekeeper = Gatekeeper(process, file)
+async def launch(configuration: object, *words: str) -> Gatekeeper:
+    """Start the program, with a verb and its options if any, and wait until it listens or has ended."""
+    gatekeeper = await spawn(configuration, *words)
     # It has read its file once it has told of its port or has ended.
-    waiting = [asyncio.create_task(gatekeeper.listening()), asyncio.create_task(process.wait())]
+    waiting = [asyncio.create_task(gatekeeper.listening()), asyncio.create_task(gatekeeper.process.wait())]
     await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
     waiting[0].cancel()
     return gatekeeper
 
 
+async def spawn(configuration: object, *words: str) -> Gatekeeper:
+    """Start the program, and wait for nothing."""
+    file = Path(tempfile.mkstemp(suffix=".json", dir=FILES.name)[1])
+    file.write_text(configuration if isinstance(configuration, str) else json.dumps(configuration))
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "oliveloft", *words, env={**os.environ, "PROXY_CONFIG": str(file)},
+        cwd=Path(__file__).parents[1], stderr=asyncio.subprocess.PIPE)
+    return Gatekeeper(process, file)
+
+
 @contextlib.asynccontextmanager
 async def scene(*workers: Worker, ends: bool = False,
                 **how: Any) -> AsyncIterator[tuple[Gatekeeper, Discovery, Client]]:
