What is in a store moves with its share; needs fall as fast as silence is news

Cause: a share that came to a forwarder brought no units with it, so that its store filled from nothing after each move, and the one that had lost the traffic held its share for seconds. Change: what leaves the stores of a share given away goes through the planner to whoever gets it, once; a rate falls over the time in which three units usually come; the slice rises with the share at once.

--- a/micagate/adapter.py
+++ b/micagate/adapter.py
@@ -113,8 +113,8 @@
             return f"SET_TIMER {instance} {max(0, micros(delay))} {ref}"
         case i.Subscribe():
             return f"SUBSCRIBE {instance} 1"
-        case i.Tallies():
-            raise ValueError("the wire has no surveys")  # nor an event that asks for one
+        case i.Tallies() | i.Freed():
+            raise ValueError("the wire has no planners")  # nor an event that calls for these
 
 
 class Adapter:
--- a/micagate/gateway.py
+++ b/micagate/gateway.py
@@ -83,7 +83,8 @@
             case i.Abandoned(request):
                 self._over(request)
             case i.Shares():
-                self.quotas.shared(now, event)
+                if freed := self.quotas.shared(now, event, self._plans):
+                    self._actions.append(i.Freed(tuple(freed)))
             case i.Survey():
                 self._actions.append(i.Tallies((*self.quotas.survey(), *self.fleet.survey(now))))
         return self._actions
--- a/micagate/interface.py
+++ b/micagate/interface.py
@@ -229,30 +229,57 @@
 
 @dataclass(frozen=True, slots=True)
 class Share:
-    """Of the thing `key`, so much of this gateway's part is lent, and so much is borrowed; 1 is the whole."""
+    """Of the thing `key`, so much of this gateway's part is lent, and so much is borrowed; 1 is the whole.
+
+    `count` gateways share it.
+    """
 
     key: str
     lent: float = 0.0
     borrowed: float = 0.0
+    count: int = 1
 
     def __post_init__(self) -> None:
         _check(self, 0.0, ("lent", "borrowed"))
+        _check(self, 1, ("count",))
+
+
+@dataclass(frozen=True, slots=True)
+class Fill:
+    """What is in the stores of a thing, of quota and of ceiling, that moves with a share; 1 is a whole
+    burst."""
+
+    key: str
+    store: float = 0.0
+    ceiling: float = 0.0
+
+    def __post_init__(self) -> None:
+        _check(self, 0.0, ("store", "ceiling"))
 
 
 @dataclass(frozen=True, slots=True)
 class Shares:
     """A session with a planner: the ends of all it lent and borrowed, and what of that has changed.
 
-    `over` says that both ends are past: it may be forgotten.
+    It is answered with a `Freed` where that takes something out of stores. `over` says that both ends are
+    past: it may be forgotten.
     """
 
     session: int
     lent_until: float
     borrowed_until: float
     changes: tuple[Share, ...] = ()
+    fills: tuple[Fill, ...] = ()  # what came with shares: it goes into the stores, once
     over: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Freed:
+    """What was in the stores of the shares that were given away by a `Shares`, and is in them no more."""
+
+    fills: tuple[Fill, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class Survey:
     """Asks for a `Tallies`; the first one begins the counting."""
@@ -284,5 +311,5 @@
 
 
 Event = WorkerList | Request | Outcome | StreamStarted | TimerFired | Abandoned | Shares | Survey
-Action = Send | Refuse | Fail | Cancel | SetTimer | Subscribe | Tallies
+Action = Send | Refuse | Fail | Cancel | SetTimer | Subscribe | Tallies | Freed
 
--- a/micagate/planning/demand.py
+++ b/micagate/planning/demand.py
@@ -8,7 +8,9 @@
 from micagate.interface import Tally
 from micagate.planning.holder import GONE, Demand
 
-RISE, FALL = 0.4, 2.0  # seconds over which a rate is averaged: short while it rises, long while it falls
+RISE = 0.4  # seconds over which a rate that rises is averaged
+# The same for one that falls: as long as so many units took to come, since silence is news only after that.
+FEW, SHORTEST, LONGEST = 3.0, 0.3, 3.0
 HEADROOM = 1.25  # of a need over the average rate: arrivals come by chance
 SPAN = 1.0  # seconds over which what came at once is held against the burst
 
@@ -37,21 +39,23 @@
         """Take in the tallies of the time since the last survey; the needs of all that is known."""
         passed = max(1e-3, now - self._at)
         self._at = now
-        rise, fall = -math.expm1(-passed / RISE), -math.expm1(-passed / FALL)
+        rise = -math.expm1(-passed / RISE)
         asked: dict[str, Tally] = {}
         for tally in tallies:
             asked[tally.key] = tally
             if tally.key not in self._seen:
                 self._seen[tally.key] = _Seen(tally, now)
-        return list(self._demands(passed, rise, fall, asked))
+        return list(self._demands(passed, rise, asked))
 
-    def _demands(self, passed: float, rise: float, fall: float, asked: dict[str, Tally]) -> Iterator[Demand]:
+    def _demands(self, passed: float, rise: float, asked: dict[str, Tally]) -> Iterator[Demand]:
         for key, seen in list(self._seen.items()):
             tally = asked.get(key)
             rate = tally.asked / passed if tally is not None else 0.0
             if tally is not None:
                 seen.first, seen.count = tally.first, tally.count
                 seen.whole, seen.burst, seen.open = tally.whole, tally.burst, tally.open
+            span = min(LONGEST, max(SHORTEST, FEW / max(seen.rate, 1e-6)))
+            fall = -math.expm1(-passed / span)
             seen.rate += (rate - seen.rate) * (rise if rate > seen.rate else fall)
             # What came within one survey may have come at once: the store's burst has to take it.
             came = tally.asked if tally is not None else 0.0
--- a/micagate/planning/holder.py
+++ b/micagate/planning/holder.py
@@ -12,8 +12,9 @@
 from collections.abc import Callable, Container, Iterable
 from dataclasses import dataclass
 
+from micagate import interface as i
 from micagate.interface import Share, Shares
-from micagate.planning.messages import TINY, Amount, Call, Need, Report, Word
+from micagate.planning.messages import TINY, Amount, Call, Fill, Need, Report, Word
 from micagate.planning.terms import Terms
 
 CHANGE, LEAST = 0.15, 0.02  # a need is told anew once it has changed by this share of it, and so much
@@ -35,7 +36,7 @@
 
     __slots__ = ("planner", "shard", "epoch", "number", "reported", "word", "stamp", "lent_until",
                  "borrowed_until", "lent", "borrowed", "sent_at", "heard", "live", "told", "due", "urgent",
-                 "lends", "_asked", "touched", "taken")
+                 "lends", "_asked", "touched", "taken", "counts", "fills", "lefts")
 
     def __init__(self, planner: str, shard: int, epoch: int, number: int, now: float) -> None:
         self.heard = now
@@ -52,6 +53,9 @@
         self.lends: dict[str, None] = {}  # loans to be told
         self.urgent = False
         self._asked: dict[int, float] = {}  # by report: when it was sent
+        self.counts: dict[str, int] = {}  # how many share what is lent or borrowed
+        self.fills: list[Fill] = []  # what came with shares, for the module
+        self.lefts: list[Fill] = []  # what left the stores with shares, for the planner
         self.taken: tuple[float, float] | None = None  # both ends, as the module has them
         self.touched: dict[str, None] = {}  # things whose lent or borrowed amount has changed
 
@@ -184,6 +188,7 @@
             else:
                 session.borrowed.pop(grant.key, None)
             session.touched[grant.key] = None
+        session.fills += word.fills
         for call in word.calls:
             self._called(now, session, call)
         if word.grants or word.calls:
@@ -204,6 +209,7 @@
             session.lent[call.key] = amount
         else:
             session.lent.pop(call.key, None)
+        session.counts[call.key] = call.count
         session.lends[call.key] = None
         session.touched[call.key] = None
 
@@ -229,13 +235,13 @@
     def _due(self, now: float, session: Session) -> Iterable[Report]:
         waited = now - session.sent_at
         busy = bool(session.lent or session.borrowed)
-        news = bool(session.due or session.lends)
+        news = bool(session.due or session.lends or session.lefts)
         if not (session.urgent or (news and waited >= self._t.interval / 2)
                 or (busy and waited >= self._t.interval)):
             return
         while True:
             yield self._report(now, session)
-            if not (session.due or session.lends):
+            if not (session.due or session.lends or session.lefts):
                 return
 
     def _report(self, now: float, session: Session) -> Report:
@@ -253,13 +259,14 @@
             session.told[key] = known.need
             if known.need < GONE:
                 del self._needs[key], session.told[key]
+        lefts, session.lefts = session.lefts[:self._t.entries], session.lefts[self._t.entries:]
         session.reported += 1
         session.urgent = False
         session.sent_at = now
         session.asked(now, session.reported)
         session.lent_until = now + self._t.term
         return Report(session.shard, session.epoch, session.number, session.reported, session.word,
-                      session.stamp, tuple(needs), tuple(lends))
+                      session.stamp, tuple(needs), tuple(lends), tuple(lefts))
 
     # What may be spent.
 
@@ -271,18 +278,41 @@
         return max(0.0, 1.0 / count - self._lent(now, key)) + borrowed
 
     def moves(self, now: float) -> list[Shares]:
-        """What has changed since the last call, as the module is to hear it; ended sessions come last."""
+        """What has changed since the last call, as the module is to hear it before any report goes out.
+
+        The end of what is lent is told a little late, so that reports within the next interval need no news.
+        """
         made = []
         for session in self._sessions:
-            state = session.lent_until, session.borrowed_until
-            if session.touched or state != session.taken:
-                changes = tuple(Share(key, session.lent.get(key, 0.0), session.borrowed.get(key, 0.0))
-                                for key in session.touched)
+            lent_until, taken = session.lent_until, session.taken
+            if session.live and session.lent:
+                lent_until = max(lent_until, now + self._t.term + self._t.interval)
+                if taken is not None and not session.touched and (
+                        taken[0] >= lent_until - self._t.interval / 2):
+                    lent_until = taken[0]
+            state = lent_until, session.borrowed_until
+            if session.touched or session.fills or state != taken:
+                changes = tuple(Share(key, session.lent.get(key, 0.0), session.borrowed.get(key, 0.0),
+                                      self._count(session, key)) for key in session.touched)
+                fills = tuple(i.Fill(fill.key, fill.store, fill.ceiling) for fill in session.fills)
                 session.touched.clear()
+                session.fills.clear()
                 session.taken = state
-                made.append(Shares(session.number, *state, changes))
+                made.append(Shares(session.number, *state, changes, fills))
         return made
 
+    def _count(self, session: Session, key: str) -> int:
+        """How many share a thing, as far as is known here."""
+        known = self._needs.get(key)
+        return known.count if known is not None else session.counts.get(key, 1)
+
+    def freed(self, number: int, fills: Iterable[i.Fill]) -> None:
+        """What a session's moves have taken out of stores: the planner is told, with what is lent."""
+        for session in self._sessions:
+            if session.number == number and session.live:
+                session.lefts += [Fill(fill.key, min(1.0, fill.store), min(1.0, fill.ceiling))
+                                  for fill in fills if fill.store > TINY or fill.ceiling > TINY]
+
     def ended(self, now: float) -> list[Shares]:
         """Forget the sessions of which nothing matters any more, and say so to the module."""
         over = [s for s in self._sessions if s.over(now)]
--- a/micagate/planning/ledger.py
+++ b/micagate/planning/ledger.py
@@ -12,7 +12,7 @@
 from collections.abc import Container
 
 from micagate.planning.allocate import targets
-from micagate.planning.messages import TINY, Again, Amount, Call, Report, Word
+from micagate.planning.messages import TINY, Again, Amount, Call, Fill, Report, Word
 from micagate.planning.terms import Terms
 
 UNTOLD = 1 << 62
@@ -68,7 +68,7 @@
 
     __slots__ = ("name", "index", "session", "reported", "acked", "sent", "sent_at", "echo", "needs", "said",
                  "loans", "calls", "grants", "changed_calls", "changed_grants", "unsettled", "live", "usable",
-                 "heard")
+                 "heard", "fills")
 
     def __init__(self, name: str, index: int, session: int) -> None:
         self.name, self.index, self.session = name, index, session
@@ -83,6 +83,7 @@
         self.changed_calls: dict[str, None] = {}  # these three in order, so that a schedule can be repeated
         self.changed_grants: dict[str, None] = {}
         self.unsettled: dict[str, None] = {}  # calls and grants that it may not have yet
+        self.fills: dict[str, tuple[float, float]] = {}  # what goes with the shares of the next word
         self.live = True
         self.usable = False  # whether its loans outlast a grant
 
@@ -94,10 +95,12 @@
 class _Thing:
     """A thing that is shared: its set, and who has to do with it."""
 
-    __slots__ = ("first", "count", "sessions")
+    __slots__ = ("first", "count", "sessions", "store", "ceiling")
 
     def __init__(self, first: int, count: int) -> None:
         self.first, self.count = first, count
+        # What left the stores of shares that were given away, until it goes on with others.
+        self.store = self.ceiling = 0.0
         self.sessions: dict[_Session, None] = {}  # those with a need, a loan or a grant of it
 
     def has(self, index: int, forwarders: int) -> bool:
@@ -159,6 +162,11 @@
             session.needs[need.key] = need.need
             thing.sessions[session] = None
             self._dirty[need.key] = None
+        for left in report.lefts:
+            if (held := self._things.get(left.key)) is not None:
+                held.store = min(1.0, held.store + left.store)
+                held.ceiling = min(1.0, held.ceiling + left.ceiling)
+                self._dirty[left.key] = None
         for lend in report.lends:
             if lend.key in session.calls:  # nobody lends uncalled
                 session.said[lend.key] = lend.amount
@@ -228,7 +236,7 @@
         for session in self._sessions.values():
             if session.name not in blocked and self._owed(now, session):
                 words.append((session.name, self._word(now, session)))
-                while session.changed_calls or session.changed_grants:
+                while session.changed_calls or session.changed_grants or session.fills:
                     words.append((session.name, self._word(now, session)))
         return words
 
@@ -307,12 +315,29 @@
         charged = {s: s.grants[key].charge(now, True, 0.0) if key in s.grants else 0.0 for s in lacks}
         costs = {s: max(0.0, wants[s] - part - charged[s]) for s in lacks}
         rate = min(1.0, free / total) if (total := sum(costs.values())) > TINY else 1.0
+        raised = {}
         for s, lack in lacks.items():
             amount = min(wants[s] - part, charged[s] + rate * costs[s])
             before = wants[s] - part - lack
             if amount - before >= LEAST:
                 thing.sessions[s] = None
                 self._grant(s, key, amount)
+                raised[s] = amount - before
+        self._pass_on(thing, key, raised)
+
+    def _pass_on(self, thing: _Thing, key: str, raised: dict[_Session, float]) -> None:
+        """What lies here of stores goes with what was raised; else to whoever still has a grant of it."""
+        if thing.store <= TINY and thing.ceiling <= TINY:
+            return
+        raised = raised or {s: s.grants[key].amount for s in thing.sessions
+                            if s.live and key in s.grants and s.grants[key].amount > 0}
+        total = sum(raised.values())
+        if total <= TINY:
+            return
+        for s, amount in raised.items():
+            store, ceiling = s.fills.get(key, (0.0, 0.0))
+            s.fills[key] = store + thing.store * amount / total, ceiling + thing.ceiling * amount / total
+        thing.store = thing.ceiling = 0.0
 
     def _lacks(self, wants: dict[_Session, float], key: str, part: float) -> dict[_Session, float]:
         """Who has how much less than it should have, beyond its part."""
@@ -343,6 +368,7 @@
         A loan that no longer outlasts a grant backs none from now on, but may still back earlier ones: it is
         freed only where the others cover all that may be in use.
         """
+        back: dict[_Session, float] = {}
         for session, want in wants.items():
             wish = max(0.0, part - max(want, KEPT * part))
             amount = session.calls.get(key, (0.0, 0))[0]
@@ -363,6 +389,10 @@
                 session.changed_calls[key] = None
                 session.unsettled[key] = None
                 session.loans[key] = min(loan, wish)
+                if loan > wish + TINY:
+                    back[session] = loan - wish
+        if back:
+            self._pass_on(thing, key, back)
 
     def _tidy(self, thing: _Thing, key: str) -> None:
         """Forget who has no more to do with a thing, and the thing itself with the last of them."""
@@ -386,7 +416,7 @@
     # What goes out.
 
     def _owed(self, now: float, session: _Session) -> bool:
-        if session.changed_calls or session.changed_grants:
+        if session.changed_calls or session.changed_grants or session.fills:
             return True
         busy = any(grant.amount for grant in session.grants.values()) or any(
             amount for amount, _ in session.calls.values())
@@ -408,8 +438,12 @@
             if (call := session.calls.get(key)) is not None and (thing := self._things.get(key)) is not None:
                 session.calls[key] = (call[0], session.sent)
                 calls.append(Call(key, thing.count, call[0]))
+        fills: list[Fill] = []
+        while session.fills and len(fills) < room:
+            key, (store, ceiling) = session.fills.popitem()
+            fills.append(Fill(key, min(1.0, store), min(1.0, ceiling)))
         return Word(self.shard, self.epoch, session.session, session.sent, session.reported, now,
-                    tuple(calls), tuple(grants))
+                    tuple(calls), tuple(grants), tuple(fills))
 
     # What can be seen.
 
--- a/micagate/planning/messages.py
+++ b/micagate/planning/messages.py
@@ -30,6 +30,14 @@
     amount: float
 
 
+class Fill(msgspec.Struct, frozen=True, array_like=True):
+    """What is in the stores of a thing, of quota and ceiling, that moves with a share; 1 is a whole burst."""
+
+    key: str
+    store: float
+    ceiling: float
+
+
 class Call(msgspec.Struct, frozen=True, array_like=True):
     """How much of its part of a thing the planner would have a forwarder lend; less than before frees it."""
 
@@ -49,6 +57,7 @@
     echo: float
     needs: tuple[Need, ...] = ()
     lends: tuple[Amount, ...] = ()
+    lefts: tuple[Fill, ...] = ()  # what was in shares that were given away, or given back
 
 
 class Word(msgspec.Struct, frozen=True, array_like=True, tag=2):
@@ -63,6 +72,7 @@
     stamp: float
     calls: tuple[Call, ...] = ()
     grants: tuple[Amount, ...] = ()
+    fills: tuple[Fill, ...] = ()  # what comes with these shares
 
 
 class Again(msgspec.Struct, frozen=True, array_like=True, tag=3):
@@ -94,9 +104,15 @@
     for name in ("shard", "epoch", "number"):
         if getattr(message, name) < 0:
             raise Malformed(f"{name}: must be at least 0, not {getattr(message, name)}")
-    lists = (message.needs, message.lends) if isinstance(message, Report) else (message.calls, message.grants)
-    if sum(map(len, lists)) > entries:
-        raise Malformed(f"entries: at most {entries}, not {sum(map(len, lists))}")
+    fills = message.lefts if isinstance(message, Report) else message.fills
+    count = len(message.needs) + len(message.lends) if isinstance(message, Report) else (
+        len(message.calls) + len(message.grants))
+    if max(count, len(fills)) > entries:
+        raise Malformed(f"entries: at most {entries}, not {max(count, len(fills))}")
+    for fill in fills:
+        _key("fills.key", fill.key)
+        _share("fills.store", fill.store)
+        _share("fills.ceiling", fill.ceiling)
     if not math.isfinite(message.echo if isinstance(message, Report) else message.stamp):
         raise Malformed("stamp: must be finite")
     if isinstance(message, Report):
--- a/micagate/quotas.py
+++ b/micagate/quotas.py
@@ -4,6 +4,7 @@
 
 import math
 from collections import OrderedDict
+from collections.abc import Mapping
 
 from micagate import interface as i
 from micagate.shares import Shares, customer_key
@@ -102,6 +103,8 @@
                 elapsed, before = 0.0, elapsed
                 a.store += before * min(a.slice, a.plan.rate / over)
                 a.ceiling += before * a.plan.ceiling_rate / max(over, a.over)
+                if over < a.over:
+                    a.slice = max(a.slice, a.plan.rate / over)
                 self._divide(a, over)
         a.store = min(a.depth, a.store + elapsed * a.slice)
         a.ceiling = min(a.plan.ceiling_depth / a.over, a.ceiling + elapsed * a.plan.ceiling_rate / a.over)
@@ -136,15 +139,40 @@
             return True
         return a.ceiling >= units + (a.plan.ceiling_depth / a.over / 2 if beyond else 0.0)
 
-    def shared(self, now: float, event: i.Shares) -> None:
-        """Follow what planners moved: what is lent is spent here no more from now on."""
+    def shared(self, now: float, event: i.Shares, plans: Mapping[str, i.Plan]) -> list[i.Fill]:
+        """Follow what planners moved; what was in the stores of a share that is given away, as it leaves
+        them.
+
+        What is lent is spent here no more from now on. Fills that come are put in, as far as the share holds
+        them. Nothing is made anew by a move, so that all gateways together keep burst and rate.
+        """
+        touched = {}
+        for key in (*(share.key for share in event.changes), *(fill.key for fill in event.fills)):
+            kind, _, rest = key.partition("/")
+            name, _, customer = rest.partition("/")
+            if kind == "c" and (plan := plans.get(name)) is not None:
+                known = self._accounts.get((customer, name))
+                count = next((share.count for share in event.changes if share.key == key), 1)
+                if known is not None or count > 1:
+                    touched[key] = self.account(now, customer, plan, known.spread if known else count)
+        before = {key: (account.over, account.store, account.ceiling) for key, account in touched.items()}
         self._shares.change(event)
-        for share in event.changes:
-            kind, _, rest = share.key.partition("/")
-            plan, _, customer = rest.partition("/")
-            account = self._accounts.get((customer, plan)) if kind == "c" else None
-            if account is not None:
-                self._refill(now, account)
+        freed = []
+        for key, a in touched.items():
+            over, store, ceiling = before[key]
+            self._refill(now, a)
+            if a.over > over:
+                kept = over / a.over
+                a.store, a.ceiling = min(store, store * kept), ceiling * kept
+                whole, top = a.plan.burst, a.plan.ceiling_depth
+                freed.append(i.Fill(key, max(0.0, store - a.store) / whole if whole else 0.0,
+                                    (ceiling - a.ceiling) / top if top else 0.0))
+        for fill in event.fills:
+            if fill.key in touched:
+                a, top = touched[fill.key], touched[fill.key].plan.ceiling_depth
+                a.store = min(a.depth, a.store + fill.store * a.plan.burst)
+                a.ceiling = min(top / a.over, a.ceiling + fill.ceiling * top)
+        return freed
 
     def count(self, a: Account, request: i.Request) -> None:
         """Count what is asked, for the next survey."""
--- a/oliveloft/gatekeeper/bridge.py
+++ b/oliveloft/gatekeeper/bridge.py
@@ -68,9 +68,11 @@
         self._workers.update(news.endpoints, news.whole)
         self._hand(i.WorkerList(tuple(e.entry for e in news.endpoints), whole=news.whole), "")
 
-    def shares(self, event: i.Shares) -> None:
-        """Planners have moved shares: they hold from now on."""
-        self._hand(event, "")
+    def shares(self, event: i.Shares) -> tuple[i.Fill, ...]:
+        """Planners have moved shares: they hold from now on. What left the stores with what was given
+        away."""
+        return next((action.fills for action in self._module.handle(self._loop.time(), event)
+                     if isinstance(action, i.Freed)), ())
 
     def survey(self) -> tuple[i.Tally, ...]:
         """What was asked of each thing since the last survey."""
@@ -121,8 +123,8 @@
                 request = self._requests.get(name)
                 if request is not None and number < len(request.attempts):
                     request.attempts[number].give_up(i.CANCELLED)
-            case i.Subscribe() | i.Tallies():
-                pass  # discovery is watched from the start; who surveys takes the tallies itself
+            case i.Subscribe() | i.Tallies() | i.Freed():
+                pass  # discovery is watched from the start; who asks takes the others itself
 
     def _fired(self, ref: int, about: str) -> None:
         self._hand(i.TimerFired(ref), about)
--- a/oliveloft/planners/link.py
+++ b/oliveloft/planners/link.py
@@ -29,8 +29,8 @@
 class Decisions(Protocol):
     """What the links need of the bridge."""
 
-    def shares(self, event: i.Shares) -> None:
-        """Take shares."""
+    def shares(self, event: i.Shares) -> tuple[i.Fill, ...]:
+        """Take shares; what left the stores with those that were given away."""
 
     def survey(self) -> tuple[i.Tally, ...]:
         """What was asked of each thing since the last survey."""
@@ -268,10 +268,9 @@
         now = self.now()
         blocked = {name for name, link in self._links.items()
                    if link.line is None or not link.line.open or link.line.blocked}
-        reports = self.holder.reports(now, blocked)
         for event in [*self.holder.moves(now), *self.holder.ended(now)]:
-            self._decisions.shares(event)
-        for planner, report in reports:
+            self.holder.freed(event.session, self._decisions.shares(event))
+        for planner, report in self.holder.reports(now, blocked):
             line = self._links[planner].line
             if line is not None:
                 line.send(report)
