Simulated forwarders spend from real stores, held to one store that saw all

Need: the rule is about units spent over a ceiling, not only about shares. Change: rig/planning.py gives each forwarder the module's own Quotas, moves shares and fills through them as the links do, and holds all that is spent to one store on the fastest clock.

--- a/rig/planning.py
+++ b/rig/planning.py
@@ -11,13 +11,18 @@
 from dataclasses import dataclass, field
 from random import Random
 
+from micagate import interface as i
 from micagate.planning.holder import Demand, Holder
 from micagate.planning.ledger import Ledger
 from micagate.planning.messages import Again, Report, Word
 from micagate.planning.terms import Terms
+from micagate.quotas import Quotas
+from micagate.shares import customer_key
 from rig.simulation import Clock, Link, LocalClock, Network
 
 TICK = 0.05  # seconds between looks at what is due, at forwarders and planners
+PLAN = i.Plan("plan", rate=40.0, burst=40.0, ceiling_rate=40.0, ceiling_depth=60.0)
+PLANS = {PLAN.name: PLAN}
 
 
 @dataclass(slots=True)
@@ -102,6 +107,7 @@
         self.lives += 1
         now = self.clock.now
         born = now - 1e6 if first else now
+        self.quotas = Quotas(born)
         self.holder = self.world.holder(self.world.terms, self.index, self.world.count, born,
                                         1_000_000 * self.index + 10_000 * self.lives)
         self.want(self.needs)
@@ -126,10 +132,20 @@
         self.tick()
 
     def tick(self) -> None:
-        """Send what is due."""
-        self.holder.ended(self.clock.now)
-        for planner, report in self.holder.reports(self.clock.now):
+        """Carry shares to the stores, send what is due, and spend what is asked."""
+        now = self.clock.now
+        for event in [*self.holder.moves(now), *self.holder.ended(now)]:
+            self.holder.freed(event.session, self.quotas.shared(now, event, PLANS))
+        for planner, report in self.holder.reports(now):
             self.world.network.send(self.name, planner, report)
+        if self.holder.ready(now):
+            for key, need in self.needs.items():
+                account = self.quotas.account(now, key.rpartition("/")[2], PLAN, self.world.count)
+                wanted = self.world.random.random() * 2 * need * PLAN.ceiling_rate * TICK
+                while wanted >= 1 and self.quotas.allowed(account, 1.0, False):
+                    self.quotas.take(account, 1.0, False)
+                    self.world.spent(key)
+                    wanted -= 1
 
     def share(self, key: str) -> float:
         """What it may spend now."""
@@ -185,6 +201,8 @@
     excess: float = 0.0  # the most by which shares of a thing ever were over the whole
     when: float = 0.0
     moved: float = 0.0  # the most ever borrowed of a thing
+    spent: int = 0
+    overspent: float = 0.0  # the most units by which all together ever were over a ceiling
     faults: list[str] = field(default_factory=list)
 
 
@@ -205,8 +223,10 @@
             (Link(0.0005, 0.004), Link(0.001, 0.3), Link(0.001, 0.05, loss=0.1, repeat=0.1),
              Link(0.0, 1.2, loss=0.02, repeat=0.05)))
         self.network = Network(self.clock, self.random, usual)
-        self.things = [f"thing{n}" for n in range(things)]
+        self.things = [customer_key(PLAN.name, f"c{n}") for n in range(things)]
         self.seen = Seen()
+        # What one gateway that saw all would have in the ceiling's store, by the fastest clock.
+        self._stores = dict.fromkeys(self.things, (0.0, PLAN.ceiling_depth))
         self.epoch = 0
         self.forwarders: list[Forwarder] = []
         self.forwarders += [Forwarder(self, n) for n in range(forwarders)]
@@ -234,6 +254,15 @@
                 self.seen.excess, self.seen.when = excess, self.clock.now
             self.seen.moved = max(self.seen.moved, max(shares) - 1.0 / self.count)
 
+    def spent(self, key: str) -> None:
+        """A forwarder has spent a unit of a thing."""
+        at, level = self._stores[key]
+        now = self.clock.now
+        level = min(PLAN.ceiling_depth, level + (now - at) * PLAN.ceiling_rate * (1 + self.drift)) - 1
+        self._stores[key] = now, level
+        self.seen.spent += 1
+        self.seen.overspent = max(self.seen.overspent, -level)
+
     def _next(self) -> int:
         self.epoch += 1
         return self.epoch
--- a/tests/planning/test_no_double_grants.py
+++ b/tests/planning/test_no_double_grants.py
@@ -10,10 +10,12 @@
 from micagate.planning.holder import Holder, Session
 from micagate.planning.ledger import Ledger, _Grant
 from micagate.planning.terms import Terms
-from rig.planning import World
+from micagate.shares import customer_key
+from rig.planning import PLAN, World
 
 SCHEDULES, SECONDS = 250, 20.0
 SLACK = 1e-6
+THING = customer_key(PLAN.name, "c0")
 
 
 def test_no_share_is_handed_out_twice_whatever_fails():
@@ -22,10 +24,16 @@
         seen = World(seed).run(SECONDS)
         assert seen.excess <= SLACK, f"seed {seed}: {seen.excess:.3f} over the whole at {seen.when:.2f} s: " \
                                      f"{[f for f in seen.faults if float(f.split()[0]) <= seen.when]}"
+        assert seen.overspent <= SLACK, f"seed {seed}: {seen.overspent:.2f} units over a ceiling"
         moved += seen.moved > 0.1
     assert moved > 0.7 * SCHEDULES  # shares did move: the rule is not kept by doing nothing
 
 
+def test_the_stores_are_spent_well_too():
+    spent = [World(seed).run(SECONDS).spent for seed in range(20)]
+    assert sum(spent) > 0.5 * 20 * 2 * SECONDS * PLAN.ceiling_rate * 0.5
+
+
 def test_a_schedule_is_the_same_for_the_same_seed():
     assert World(7).run(SECONDS) == World(7).run(SECONDS)
 
@@ -34,15 +42,15 @@
     world = World(3, calm=True)
     world.random.choice = lambda options: options[0]  # no needs but those below
     world.planners[0].own(world._next())
-    world.forwarders[0].want({"thing0": 0.9})
+    world.forwarders[0].want({THING: 0.9})
     for _ in range(100):
         world.clock.run(world.clock.now + 0.01)
-    assert world.forwarders[0].share("thing0") > 0.85
-    world.forwarders[0].want({"thing0": 0.0})
-    world.forwarders[1].want({"thing0": 0.9})  # all its traffic goes to another forwarder
+    assert world.forwarders[0].share(THING) > 0.85
+    world.forwarders[0].want({THING: 0.0})
+    world.forwarders[1].want({THING: 0.9})  # all its traffic goes to another forwarder
     for _ in range(100):
         world.clock.run(world.clock.now + 0.01)
-    assert world.forwarders[1].share("thing0") > 0.85 and world.forwarders[0].share("thing0") < 0.1
+    assert world.forwarders[1].share(THING) > 0.85 and world.forwarders[0].share(THING) < 0.1
 
 
 class NoMargin(Ledger):
