Cause every failure that planners are made for, and mend what that found

Need: the hard cases of forwarders and planners, as tests with real processes on loopback. Found and mended: a planner whose session had ended while it slept never claimed again, and the other gave it back and took again each of its shards every second; a lender's store now keeps a part (0.3 of what stands behind a lent share), counted in the borrower's, so that traffic which returns meets something at once.

--- a/micagate/fleet.py
+++ b/micagate/fleet.py
@@ -152,7 +152,7 @@
         self._fade(now)
         over: float = self._s.gateways
         if self._shares:
-            over = self._shares.over(now, worker_key(worker.entry.worker), over)
+            over, _ = self._shares.over(now, worker_key(worker.entry.worker), over)
         rate = self._done / RECENT / max(1, self.serving)
         cap = (self._s.overload_factor - 1) * warm * rate * self._s.fall_time
         alone = (self._s.overload_factor - 1) * warm * self._s.fall_time / self._brisk / over
--- a/micagate/planning/terms.py
+++ b/micagate/planning/terms.py
@@ -20,8 +20,8 @@
     left of it outlasts a life. So `term` - `life` is what reports may take to arrive before loans lapse.
     """
 
-    life: float = 1.5
-    term: float = 3.5
+    life: float = 1.0
+    term: float = 2.2
     drift: float = 0.01
     interval: float = 0.2
     entries: int = 512
--- a/micagate/quotas.py
+++ b/micagate/quotas.py
@@ -21,13 +21,15 @@
 class Account:
     """One customer as this gateway knows it."""
 
-    __slots__ = ("plan", "spread", "over", "key", "first", "tally", "most", "depth", "floor", "slice",
+    __slots__ = ("plan", "spread", "over", "span", "key", "first", "tally", "most", "depth", "floor", "slice",
                  "store", "ceiling", "at", "tick", "asked", "forecast", "longer", "top", "use", "read",
                  "readings", "fresh", "out")
 
     def __init__(self, plan: i.Plan, key: str, spread: int, now: float, born: float) -> None:
         self.plan, self.key, self.spread = plan, key, spread
-        self.over: float = spread  # what the whole is divided by to give this gateway's share
+        # What the whole rate, and the whole stores, are divided by to give this gateway's.
+        self.over: float = spread
+        self.span: float = spread
         self.first, self.tally, self.most = 0, 0.0, 0
         self.depth, self.floor = plan.burst / spread, plan.rate / spread
         self.slice, self.store = self.floor, self.depth
@@ -73,7 +75,7 @@
             if now - oldest.at < IDLE or oldest.out:
                 break
             self._refill(now, oldest)
-            if oldest.ceiling < oldest.plan.ceiling_depth / oldest.over:
+            if oldest.ceiling < oldest.plan.ceiling_depth / oldest.span:
                 self._accounts.move_to_end(name)
             else:
                 del self._accounts[name]
@@ -84,19 +86,19 @@
                 plan, customer_key(plan.name, customer), spread, now, self._born)
         elif account.spread != spread:
             account.spread = spread
-            self._divide(account, spread)
+            self._divide(account, spread, spread)
         self._accounts.move_to_end(key)
         self._refill(now, account)
         return account
 
     @staticmethod
-    def _divide(a: Account, over: float) -> None:
-        a.over, a.depth, a.floor = over, a.plan.burst / over, a.plan.rate / over
+    def _divide(a: Account, over: float, span: float) -> None:
+        a.over, a.span, a.depth, a.floor = over, span, a.plan.burst / span, a.plan.rate / over
 
     def _refill(self, now: float, a: Account) -> None:
         elapsed, a.at = now - a.at, now
         if self._shares or a.over != a.spread:
-            over = self._shares.over(now, a.key, a.spread)
+            over, span = self._shares.over(now, a.key, a.spread)
             if over != a.over:
                 # What came in since then came at the smaller share: the other part of it may have been
                 # another's. A store that shrinks is cut; one that grows has to fill.
@@ -105,9 +107,9 @@
                 a.ceiling += before * a.plan.ceiling_rate / max(over, a.over)
                 if over < a.over:
                     a.slice = max(a.slice, a.plan.rate / over)
-                self._divide(a, over)
+                self._divide(a, over, span)
         a.store = min(a.depth, a.store + elapsed * a.slice)
-        a.ceiling = min(a.plan.ceiling_depth / a.over, a.ceiling + elapsed * a.plan.ceiling_rate / a.over)
+        a.ceiling = min(a.plan.ceiling_depth / a.span, a.ceiling + elapsed * a.plan.ceiling_rate / a.over)
         seconds = int(now - a.tick)
         if seconds:
             a.tick += seconds
@@ -137,11 +139,10 @@
         """Whether the ceiling has room; what goes beyond the quota leaves half of it to what is inside."""
         if not a.plan.ceiling_rate:
             return True
-        return a.ceiling >= units + (a.plan.ceiling_depth / a.over / 2 if beyond else 0.0)
+        return a.ceiling >= units + (a.plan.ceiling_depth / a.span / 2 if beyond else 0.0)
 
     def shared(self, now: float, event: i.Shares, plans: Mapping[str, i.Plan]) -> list[i.Fill]:
-        """Follow what planners moved; what was in the stores of a share that is given away, as it leaves
-        them.
+        """Follow what planners moved; what leaves the stores with shares that are given away.
 
         What is lent is spent here no more from now on. Fills that come are put in, as far as the share holds
         them. Nothing is made anew by a move, so that all gateways together keep burst and rate.
@@ -155,23 +156,22 @@
                 count = next((share.count for share in event.changes if share.key == key), 1)
                 if known is not None or count > 1:
                     touched[key] = self.account(now, customer, plan, known.spread if known else count)
-        before = {key: (account.over, account.store, account.ceiling) for key, account in touched.items()}
+        before = {key: (account.span, account.store, account.ceiling) for key, account in touched.items()}
         self._shares.change(event)
         freed = []
         for key, a in touched.items():
-            over, store, ceiling = before[key]
+            span, store, ceiling = before[key]
             self._refill(now, a)
-            if a.over > over:
-                kept = over / a.over
+            if a.span > span:
+                kept, whole, top = span / a.span, a.plan.burst, a.plan.ceiling_depth
                 a.store, a.ceiling = min(store, store * kept), ceiling * kept
-                whole, top = a.plan.burst, a.plan.ceiling_depth
                 freed.append(i.Fill(key, max(0.0, store - a.store) / whole if whole else 0.0,
                                     (ceiling - a.ceiling) / top if top else 0.0))
         for fill in event.fills:
             if fill.key in touched:
                 a, top = touched[fill.key], touched[fill.key].plan.ceiling_depth
                 a.store = min(a.depth, a.store + fill.store * a.plan.burst)
-                a.ceiling = min(top / a.over, a.ceiling + fill.ceiling * top)
+                a.ceiling = min(top / a.span, a.ceiling + fill.ceiling * top)
         return freed
 
     def count(self, a: Account, request: i.Request) -> None:
--- a/micagate/shares.py
+++ b/micagate/shares.py
@@ -12,6 +12,8 @@
 
 from micagate import interface as i
 
+MOVED = 0.7  # of the stores behind a share, which moves with it (ours)
+
 
 class Shares:
     """What is lent and borrowed of each thing."""
@@ -46,21 +48,25 @@
     def __len__(self) -> int:
         return len(self._amounts)
 
-    def over(self, now: float, key: str, count: float) -> float:
-        """What the whole of a thing is divided by to give this gateway's share: `count` where nothing
-        moved."""
+    def over(self, now: float, key: str, count: float) -> tuple[float, float]:
+        """What the rate and the stores of a whole thing are divided by to give this gateway's.
+
+        Both are `count` where nothing moved. Of the stores less moves than of the rate: traffic that comes to
+        a lender meets something at once, until its share has followed.
+        """
         held = self._amounts.get(key)
         if held is None:
-            return count
+            return count, count
         lent = borrowed = 0.0
         for session, (out, got) in held.items():
             lent_until, borrowed_until = self._ends[session]
             lent += out if now < lent_until else 0.0
             borrowed += got if now < borrowed_until else 0.0
         if not lent and not borrowed:
-            return count
-        share = max(0.0, 1.0 / count - lent) + borrowed
-        return 1.0 / share if share > 0 else math.inf
+            return count, count
+        rate = max(0.0, 1.0 / count - lent) + borrowed
+        room = max(0.0, 1.0 / count - lent * MOVED) + borrowed * MOVED
+        return 1.0 / rate if rate > 0 else math.inf, 1.0 / room if room > 0 else math.inf
 
 
 def customer_key(plan: str, customer: str) -> str:
--- a/oliveloft/planners/keeper.py
+++ b/oliveloft/planners/keeper.py
@@ -30,7 +30,6 @@
         self._store, self._ownership, self._address = store, ownership, address
         self._prefix, self._ttl, self._changed, self._now = prefix, session, changed, now
         self._lease = 0
-        self._member = ""  # the value under which this planner is a member
         self._owned: dict[int, int] = {}
         self._reading = False  # the store's state is known
         self.trouble = ""  # what the store's last call failed by
@@ -70,8 +69,7 @@
                     self._lease = lease
                 elif await self._store.renew(self._lease) <= 0:
                     log.warning("store: the session has ended; beginning anew")
-                    self._lease = 0
-                    self._reading = False
+                    self._lease = 0  # the watch has told, or will tell, that what was owned under it is gone
                     continue
                 self._well()
                 await asyncio.sleep(self._ttl / RENEWALS)
--- a/rig/modelled.py
+++ b/rig/modelled.py
@@ -49,6 +49,15 @@
             self.units.setdefault((customer, plan), []).append((now, units))
 
 
+def overspent(units: list[tuple[float, float]], rate: float, depth: float) -> float:
+    """By how many units at most all together were over a store of this rate and depth that began full."""
+    level, at, worst = depth, 0.0, 0.0
+    for when, amount in sorted(units):
+        level = min(depth, level + (when - at) * rate) - amount if at else depth - amount
+        at, worst = when, max(worst, -level)
+    return worst
+
+
 class ModelledWorker:
     """A worker whose capacity is modelled; `service` is the seconds that a unit takes of one warm core."""
 
--- /dev/null
+++ b/tests/planners/test_peers.py
@@ -0,0 +1,294 @@
+"""Peers that send garbage, lie or have no right to be there: they get nothing, and it is logged once."""
+
+import asyncio
+import contextlib
+import logging
+import math
+import subprocess
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from micagate.planning.messages import Amount, Fill, Malformed, Need, Report, Word, check
+from oliveloft.planners import wire
+from oliveloft.planners.config import load
+from oliveloft.planners.link import Links
+from oliveloft.planners.planner import Planner
+from oliveloft.planners.status import ask
+from oliveloft.store.etcd import Etcd
+from rig.etcd import EtcdStandIn
+from rig.installation import free_port
+from rig.scripted import run, until
+
+SECRET = "sixteen bytes or more"
+
+
+def settings(folder, port, store, access=None, secret=SECRET, planner="p1"):
+    (folder / "secret").write_text(secret)
+    path = folder / f"{planner}-{hash(secret) & 0xffff}.toml"
+    path.write_text(f"""[forwarders]
+count = 3
+[planners]
+{planner} = "127.0.0.1:{port}"
+[store]
+engine = "etcd"
+endpoints = ["{store}"]
+session = 1.0
+[access]
+{access or 'secret_file = "secret"'}
+[terms]
+life = 0.6
+term = 1.4
+interval = 0.1
+""")
+    return load(str(path))
+
+
+class Nothing:
+    """Decisions that nothing is asked of."""
+
+    def __init__(self):
+        self.seen = []
+
+    def shares(self, event):
+        self.seen.append(event)
+        return ()
+
+    def survey(self):
+        return ()
+
+
+@contextlib.asynccontextmanager
+async def planner(tmp_path, **how):
+    """A planner in this process that owns all shards."""
+    store = await EtcdStandIn().start()
+    config = settings(tmp_path, free_port(), store.endpoint, **how)
+    client = Etcd(config.endpoints)
+    made = Planner("p1", config, client)
+    await made.start()
+    try:
+        await until(lambda: len(made._ledgers) == config.terms.shards)
+        yield made, config
+    finally:
+        await made.stop()
+        await client.close()
+        await store.stop()
+
+
+async def open_line(config, secret=SECRET, version=wire.VERSION, role="forwarder", index=0, count=3, name="f0"):
+    """Open a connection by hand; what the planner says to it."""
+    reader, writer = await asyncio.open_connection(*config.planners["p1"])
+    framer = wire.Framer()
+    framer.most = wire.MOST_FRAME
+
+    async def read():
+        while True:
+            data = await reader.read(65536)
+            if not data:
+                return None
+            if messages := framer.feed(data):
+                return messages
+
+    (challenge,) = await read()
+    nonce = wire.nonce()
+    proof = wire.proof(secret.encode(), "peer", challenge.nonce, nonce, name)
+    writer.write(wire.encode(wire.Hello(version, role, name, index, count, nonce, proof)))
+    return writer, read
+
+
+def complaints(caplog):
+    return [record.getMessage() for record in caplog.records if record.levelno >= logging.WARNING]
+
+
+@pytest.mark.parametrize(("how", "why"), [
+    ({"secret": "quite another secret"}, "the secret is wrong"), ({"version": 99}, "version 99"),
+    ({"role": "king"}, "role"), ({"index": 7}, "number 7"), ({"count": 5}, "5 forwarders"),
+    ({"name": ""}, "no forwarder")])
+def test_a_peer_without_the_right_gets_nothing_and_is_logged_once(tmp_path, caplog, how, why):
+    async def scenario():
+        async with planner(tmp_path) as (_, config):
+            for _ in range(3):
+                writer, read = await open_line(config, **how)
+                (refused,) = await read()
+                assert isinstance(refused, wire.Refused) and why in refused.why
+                assert await read() is None
+                writer.close()
+            assert sum(why in line for line in complaints(caplog)) == 1
+    run(scenario())
+
+
+@pytest.mark.parametrize("data", [
+    b"GET / HTTP/1.1\r\n\r\n", b"\xff\xff\xff\xff", b"\0\0\0\5hello", b"\0\0\0\1\xc0", b"\0\0\x0f\xff" + b"\x91" * 4095,
+    wire.encode(wire.Owned(())), wire.encode(wire.Pulse())])
+def test_garbage_before_the_opening_ends_the_connection(tmp_path, data):
+    async def scenario():
+        async with planner(tmp_path) as (made, config):
+            reader, writer = await asyncio.open_connection(*config.planners["p1"])
+            writer.write(data)
+            answer = await reader.read()  # to its end
+            assert b"p1" not in answer and len(answer) < 400
+            assert not made._forwarders
+            writer.close()
+    run(scenario())
+
+
+def lie(**changes):
+    made = {"shard": 0, "epoch": 1, "session": 1, "number": 1, "ack": 0, "echo": 0.0, **changes}
+    return wire.encode(Report(**made))
+
+
+@pytest.mark.parametrize("data", [
+    lie(needs=(Need("c/p/x", 0, 3, -1.0),)), lie(needs=(Need("c/p/x", 0, 3, math.nan),)),
+    lie(needs=(Need("c/p/x", 0, 3, 1e300),)), lie(needs=(Need("c/p/x", 9, 3, 0.5),)),
+    lie(needs=(Need("c/p/x", 0, 0, 0.5),)), lie(needs=(Need("x" * 300, 0, 3, 0.5),)),
+    lie(needs=tuple(Need(f"c/p/{n}", 0, 3, 0.5) for n in range(600))), lie(echo=math.inf),
+    lie(lends=(Amount("c/p/x", 2.0),)), lie(lefts=(Fill("c/p/x", math.nan, 0.0),)), lie(number=-1),
+    wire.encode(Word(0, 1, 1, 1, 0, 0.0)), b"\0\x10\0\0" + b"x" * 100])
+def test_lies_garbage_and_oversize_end_a_forwarder_s_connection_and_no_one_else_s(tmp_path, caplog, data):
+    async def scenario():
+        async with planner(tmp_path) as (made, config):
+            honest = Links("f1", 1, config, Nothing(), -100.0)
+            honest.start()
+            await until(lambda: honest.open == 1)
+            writer, read = await open_line(config)
+            await until(lambda: "f0" in made._forwarders)
+            writer.write(data)
+            while (messages := await read()) is not None:
+                assert all(isinstance(m, wire.Welcome | wire.Owned | wire.Refused) for m in messages)
+            assert "f0" not in made._forwarders and honest.open == 1
+            assert len([line for line in complaints(caplog) if line.startswith("f0")]) == 1
+            assert sum(ledger.things for ledger in made._ledgers.values()) == 0
+            honest.stop()
+    run(scenario())
+
+
+def test_a_liar_can_t_lend_what_it_was_not_called_for_nor_get_more_than_the_whole(tmp_path):
+    async def scenario():
+        async with planner(tmp_path) as (made, config):
+            ledger = made._ledgers[0]
+            for number in range(1, 4):
+                ledger.report(made.now(), "f0", 0, Report(0, ledger.epoch, 1, number, 0, 1e18,
+                                                          (Need("k", 0, 3, 1.0),), (Amount("k", 1.0),)))
+                ledger.report(made.now(), "f1", 1, Report(0, ledger.epoch, 2, number, 0, 1e18,
+                                                          (Need("k", 0, 3, 1.0),), (Amount("k", 1.0),)))
+                ledger.words(made.now())
+            assert sum(total for _, total in ledger.out(made.now()).values()) == 0.0
+    run(scenario())
+
+
+def test_a_forwarder_with_a_wrong_secret_logs_it_once_and_follows_nobody(tmp_path, caplog):
+    async def scenario():
+        async with planner(tmp_path) as (made, config):
+            wrong = settings(tmp_path, config.planners["p1"][1], config.endpoints[0], secret="not that secret at all")
+            links = Links("f2", 2, wrong, Nothing(), -100.0)
+            links.start()
+            await until(lambda: sum(seat.read > 0 for seat in made._seats) or complaints(caplog))
+            await asyncio.sleep(0.5)  # some more tries
+            assert links.open == 0 and "f2" not in made._forwarders
+            assert len([line for line in complaints(caplog) if line.startswith("planner p1")]) <= 2
+            links.stop()
+    run(scenario())
+
+
+def test_a_planner_that_does_not_know_the_secret_is_not_followed(tmp_path, caplog):
+    async def scenario():
+        async def impostor(reader, writer):
+            writer.write(wire.encode(wire.Challenge(wire.VERSION, wire.nonce())))
+            await reader.read(4096)
+            writer.write(wire.encode(wire.Welcome("p1", b"x" * 32)))
+            writer.write(wire.encode(wire.Owned(((0, 99),))))
+
+        server = await asyncio.start_server(impostor, "127.0.0.1", 0)
+        config = settings(tmp_path, server.sockets[0].getsockname()[1], "http://127.0.0.1:1")
+        links = Links("f0", 0, config, Nothing(), -100.0)
+        links.start()
+        await until(lambda: any("the secret is wrong" in line for line in complaints(caplog)))
+        assert links.open == 0 and not links.holder.epochs()
+        links.stop()
+        server.close()
+    run(scenario())
+
+
+def test_a_peer_that_does_not_read_is_pushed_back_on_and_not_queued_for(tmp_path):
+    async def scenario():
+        async with planner(tmp_path) as (made, config):
+            writer, read = await open_line(config)
+            await until(lambda: "f0" in made._forwarders)
+            seat = made._forwarders["f0"]
+            seat.pause_writing()  # as the transport says once its bound is reached
+            ledger = made._ledgers[0]
+            ledger.report(made.now(), "f0", 0, Report(0, ledger.epoch, 1, 1, 0, 0.0, (Need("k", 0, 3, 0.1),)))
+            ledger.report(made.now(), "f1", 1, Report(0, ledger.epoch, 2, 1, 0, 0.0, (Need("k", 0, 3, 1.0),)))
+            sent = seat.sent
+            for _ in range(20):
+                made._decide()
+                made._tell_all()
+            assert seat.sent == sent
+            seat.resume_writing()
+            made._decide()
+            assert seat.sent > sent  # what added up goes out at once, and once
+            writer.close()
+    run(scenario())
+
+
+def test_mutual_tls_lets_in_who_has_a_certificate_of_the_authority_and_nobody_else(tmp_path):
+    def openssl(*words):
+        subprocess.run(["openssl", *words], check=True, cwd=tmp_path, capture_output=True)
+
+    for name in ("ca", "other"):
+        openssl("req", "-x509", "-newkey", "rsa:2048", "-nodes", "-keyout", f"{name}.key", "-out", f"{name}.crt",
+                "-days", "2", "-subj", f"/CN={name}", "-addext", "basicConstraints=critical,CA:TRUE")
+    openssl("req", "-newkey", "rsa:2048", "-nodes", "-keyout", "peer.key", "-out", "peer.csr", "-subj", "/CN=peer")
+    openssl("x509", "-req", "-in", "peer.csr", "-CA", "ca.crt", "-CAkey", "ca.key", "-CAcreateserial", "-out",
+            "peer.crt", "-days", "2")
+    good = 'certificate = "peer.crt"\nkey = "peer.key"\nauthority = "ca.crt"'
+    bad = 'certificate = "other.crt"\nkey = "other.key"\nauthority = "ca.crt"'
+
+    async def scenario():
+        async with planner(tmp_path, access=good) as (made, config):
+            assert (await ask("p1", config))["planner"] == "p1"
+            links = Links("f0", 0, config, Nothing(), -100.0)
+            links.start()
+            await until(lambda: links.open == 1)
+            links.stop()
+            wrong = settings(tmp_path, config.planners["p1"][1], config.endpoints[0], access=bad)
+            with pytest.raises((OSError, wire.WireError)):
+                await ask("p1", wrong)
+            reader, writer = await asyncio.open_connection(*config.planners["p1"])
+            writer.write(wire.encode(wire.Hello(1, "status", "s", 0, 3, b"", b"")))
+            with contextlib.suppress(ConnectionError):
+                assert b"p1" not in await reader.read()
+            writer.close()
+    run(scenario())
+
+
+@given(st.lists(st.binary(max_size=200), max_size=8))
+def test_a_framer_takes_any_bytes_in_any_pieces_and_says_what_is_wrong(pieces):
+    framer = wire.Framer()
+    with contextlib.suppress(wire.WireError):
+        for piece in pieces:
+            framer.feed(piece)
+    assert len(framer._held) <= wire.OPENING_FRAME + 4 + 200
+
+
+@given(st.lists(st.integers(1, 40), min_size=1, max_size=30), st.integers(0, 3))
+def test_frames_come_whole_whatever_the_pieces(cuts, many):
+    messages = [Report(1, 2, 3, n, 0, 1.5, (Need("k", 0, 2, 0.5),), (Amount("k", 0.1),)) for n in range(many + 1)]
+    data = b"".join(map(wire.encode, messages))
+    framer, got = wire.Framer(), []
+    for cut in cuts:
+        got += framer.feed(data[:cut])
+        data = data[cut:]
+    got += framer.feed(data)
+    assert got == messages
+
+
+def test_a_checked_message_is_named_by_its_field():
+    good = Word(0, 1, 1, 1, 0, 0.0, (), (Amount("k", 0.5),))
+    check(good, 3, 10)
+    with pytest.raises(Malformed, match="amount.amount"):
+        check(msgspec.structs.replace(good, grants=(Amount("k", -0.5),)), 3, 10)
+    with pytest.raises(Malformed, match="entries"):
+        check(msgspec.structs.replace(good, grants=(Amount("k", 0.5),) * 11), 3, 10)
