--- a/micagate/planning/allocate.py
+++ b/micagate/planning/allocate.py
@@ -26,20 +26,21 @@
     return shares
 
 
-def targets(needs: Sequence[float], parts: Sequence[float]) -> list[float]:
+def targets(needs: Sequence[float], parts: Sequence[float], kept: float = 0.0) -> list[float]:
     """What each should have of a thing of which each owns a part: its part, unless one needs more than that.
 
     Then needs are met by max-min with the parts as weights; what is left over goes to those who need any, by
     their parts, so that a need that is just rising finds room. Nothing is moved for a need that its part
-    meets: moving costs messages, and what is lent comes back only in a while.
+    meets: moving costs messages, and what is lent comes back only in a while. Nobody is left less than the share
+    `kept` of its part.
     """
     whole = sum(parts)
     if not parts or all(need <= part + TINY for need, part in zip(needs, parts, strict=True)):
         return list(parts)
-    shares = max_min(needs, whole, parts)
+    shares = max_min([max(need, kept * part) for need, part in zip(needs, parts, strict=True)], whole, parts)
     left = whole - sum(shares)
     if left > TINY:
-        takers = sum(part for need, part in zip(needs, parts, strict=True) if need > TINY)
-        shares = [share + left * part / takers if need > TINY else share
+        takers = sum(part for need, part in zip(needs, parts, strict=True) if need > kept * part)
+        shares = [share + left * part / takers if need > kept * part else share
                   for share, need, part in zip(shares, needs, parts, strict=True)]
     return shares
--- a/micagate/planning/ledger.py
+++ b/micagate/planning/ledger.py
@@ -16,6 +16,7 @@
 from micagate.planning.terms import Terms
 
 UNTOLD = 1 << 62
+MOST_NEEDS = 65536  # of one forwarder; more are left out, and such things keep their parts
 KEPT = 0.1  # of its part, which nobody is called to lend: who comes back there finds a little
 LEAST = 0.01  # of the whole: grants and calls change by no less, but to nothing
 
@@ -119,6 +120,8 @@
         self._things: dict[str, _Thing] = {}
         self._dirty: dict[str, None] = {}
         self._unmet: dict[str, None] = {}  # things of which somebody wants more than is free
+        self._looked = now
+        self.left_out = 0  # needs beyond what one forwarder may have
         self.mismatched = 0  # needs that name another set than before: left out
 
     # What comes in.
@@ -159,6 +162,11 @@
             if not thing.has(index, self._forwarders):
                 self.mismatched += 1
                 continue
+            if len(session.needs) >= MOST_NEEDS and need.key not in session.needs:
+                self.left_out += 1
+                if not thing.sessions:
+                    del self._things[need.key]
+                continue
             session.needs[need.key] = need.need
             thing.sessions[session] = None
             self._dirty[need.key] = None
@@ -228,7 +236,10 @@
         Nothing is made for the blocked, who don't read what they are sent: their news adds up here.
         """
         self._lapse(now)
-        dirty, self._dirty = self._dirty | self._unmet, {}
+        dirty, self._dirty = self._dirty, {}
+        if now - self._looked >= self._t.interval:  # what is charged to them may have died meanwhile
+            self._looked = now
+            dirty |= self._unmet
         for key in dirty:
             if key in self._things:
                 self._decide(now, key)
@@ -280,7 +291,7 @@
         part = 1.0 / thing.count
         members = [s for n in range(thing.count)
                    if (s := self._by_index.get((thing.first + n) % self._forwarders)) is not None]
-        wanted = targets([s.needs.get(key, 0.0) for s in members], [part] * len(members))
+        wanted = targets([s.needs.get(key, 0.0) for s in members], [part] * len(members), KEPT)
         wants = dict.fromkeys((s for s in thing.sessions if s.live), part)  # whoever is of the set no more
         wants.update(zip(members, wanted, strict=True))
         backing = self._backing(thing, key)
@@ -370,7 +381,7 @@
         """
         back: dict[_Session, float] = {}
         for session, want in wants.items():
-            wish = max(0.0, part - max(want, KEPT * part))
+            wish = max(0.0, part - want)
             amount = session.calls.get(key, (0.0, 0))[0]
             loan = session.loans.get(key, 0.0)
             if wish < amount - TINY:
--- a/oliveloft/planners/link.py
+++ b/oliveloft/planners/link.py
@@ -93,7 +93,7 @@
                 self.send(wire.Hello(
                     wire.VERSION, "forwarder", links.name, links.index, links.config.forwarders, self._nonce,
                     wire.proof(links.config.secret, "peer", nonce, self._nonce, links.name),
-                    tuple(links.holder.epochs().items())))
+                    tuple(links.holder.epochs().items()), wire.agreed(links.config.terms)))
             case wire.Welcome(planner, proof):
                 if planner != self._link.name:
                     raise wire.WireError(f"it is {planner[:64]!r}")
--- a/oliveloft/planners/planner.py
+++ b/oliveloft/planners/planner.py
@@ -207,6 +207,9 @@
         if hello.role == "forwarder":
             if hello.forwarders != self.config.forwarders:
                 raise wire.WireError(f"{hello.forwarders} forwarders, here {self.config.forwarders}")
+            if hello.terms != wire.agreed(self.config.terms):
+                raise wire.WireError(f"life, term, drift and shards are {hello.terms}, here "
+                                     f"{wire.agreed(self.config.terms)}")
             if not 0 <= hello.index < self.config.forwarders or not 0 < len(hello.name) <= 64:
                 raise wire.WireError(f"no forwarder {hello.name[:64]!r} with the number {hello.index}")
             seat.name, seat.index = hello.name, hello.index
@@ -297,7 +300,8 @@
             for name, seat in self._forwarders.items()}
         for shard, ledger in sorted(self._ledgers.items()):
             shards[str(shard)] = {"epoch": ledger.epoch, "age_s": round(now - ledger.began, 1),
-                                  "things": ledger.things, "mismatched": ledger.mismatched}
+                                  "things": ledger.things, "mismatched": ledger.mismatched,
+                                  "left_out": ledger.left_out}
             for name, (count, total) in ledger.out(now).items():
                 entry = forwarders.setdefault(name, {  # gone, but what it has out may be in use
                     "number": None, "heard_s": None, "report_s": None, "grants": 0, "granted": 0.0,
--- a/oliveloft/planners/wire.py
+++ b/oliveloft/planners/wire.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from micagate.planning.messages import Again, Report, Word
+from micagate.planning.terms import Terms
 
 VERSION = 1
 MOST_FRAME = 256 * 1024
@@ -42,6 +43,7 @@
     nonce: bytes
     proof: bytes
     epochs: tuple[tuple[int, int], ...] = ()
+    terms: tuple[float, ...] = ()  # life, term, drift and shards: the rules rest on their being the same
 
 
 class Welcome(msgspec.Struct, frozen=True, array_like=True, tag=18):
@@ -115,6 +117,11 @@
         return made
 
 
+def agreed(terms: Terms) -> tuple[float, ...]:
+    """The terms that both sides must have alike."""
+    return terms.life, terms.term, terms.drift, float(terms.shards)
+
+
 def nonce() -> bytes:
     """A fresh one."""
     return secrets.token_bytes(16)
--- a/rig/modelled.py
+++ b/rig/modelled.py
@@ -50,8 +50,11 @@
 
 
 def overspent(units: list[tuple[float, float]], rate: float, depth: float) -> float:
-    """By how many units at most all together were over a store of this rate and depth that began full."""
-    level, at, worst = depth, 0.0, 0.0
+    """By how many units at most all together were over a store of this rate and depth that began full.
+
+    Below 0: they were never over it, and so many units were left at the least.
+    """
+    level, at, worst = depth, 0.0, -depth
     for when, amount in sorted(units):
         level = min(depth, level + (when - at) * rate) - amount if at else depth - amount
         at, worst = when, max(worst, -level)
--- a/rig/scripted.py
+++ b/rig/scripted.py
@@ -176,8 +176,8 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._ends.append((reader, writer))
-        with contextlib.suppress(asyncio.CancelledError, ConnectionError):
-            await self._answer(reader, writer)
+        with contextlib.suppress(asyncio.CancelledError, ConnectionError, RuntimeError):
+            await self._answer(reader, writer)  # uvloop says RuntimeError where the other side is gone
         writer.close()
 
     async def _answer(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
--- a/rig/traffic.py
+++ b/rig/traffic.py
@@ -93,6 +93,7 @@
         self._out = 0
         self._began = 0.0
         self._stamp = f"{seed:x}"
+        self.filings: set[str] = set()  # ids of the requests that may never run twice
 
     async def run(self, seconds: float, settle: bool = True) -> Report:
         """Send for so long, then wait for what is out, unless more is to be sent by another call."""
@@ -136,6 +137,8 @@
         if self._store(self._asked, key, plan, at).take(at, customer.units):
             self.report.asked_inside += plan.price * customer.units
         number = next(self._numbers)
+        if customer.klass != "read":
+            self.filings.add(f"{self._stamp}-{number}")
         body = b"" if customer.klass == "read" else b"a note"
         message = (
             f"{'GET' if customer.klass == 'read' else 'POST'} /{customer.klass}?customer={customer.name} "
--- a/tests/planners/test_config.py
+++ b/tests/planners/test_config.py
@@ -1,5 +1,6 @@
 """`planners.toml`: what is wrong is named, and nothing starts on it."""
 
+import re
 import subprocess
 import sys
 from pathlib import Path
@@ -17,11 +18,10 @@
     config = load(str(ROOT / "deploy" / "planners.toml"))
     assert config.forwarders == 3 and list(config.planners) == ["p1", "p2", "p3"] and config.embedded
     page = (ROOT / "docs" / "operate" / "planners.md").read_text()
-    keys = [line.split("=")[0].strip("# ") for line in GOOD.splitlines() if "=" in line.split("#")[-1] or (
-        "=" in line and not line.startswith("#"))]
+    keys = re.findall(r"^#? ?([a-z_]+) = ", GOOD, re.M)
+    assert len(keys) > 12 and "authority" in keys and "shards" in keys
     for key in keys:
-        if key not in ("p1", "p2", "p3"):
-            assert f"`{key}`" in page, key
+        assert f"`{key}`" in page, key
 
 
 @pytest.mark.parametrize(("before", "after", "why"), [
--- a/tests/planners/test_peers.py
+++ b/tests/planners/test_peers.py
@@ -77,7 +77,8 @@
         await store.stop()
 
 
-async def open_line(config, secret=SECRET, version=wire.VERSION, role="forwarder", index=0, count=3, name="f0"):
+async def open_line(config, secret=SECRET, version=wire.VERSION, role="forwarder", index=0, count=3, name="f0",
+                    terms=None):
     """Open a connection by hand; what the planner says to it."""
     reader, writer = await asyncio.open_connection(*config.planners["p1"])
     framer = wire.Framer()
@@ -94,7 +95,8 @@
     (challenge,) = await read()
     nonce = wire.nonce()
     proof = wire.proof(secret.encode(), "peer", challenge.nonce, nonce, name)
-    writer.write(wire.encode(wire.Hello(version, role, name, index, count, nonce, proof)))
+    terms = wire.agreed(config.terms) if terms is None else terms
+    writer.write(wire.encode(wire.Hello(version, role, name, index, count, nonce, proof, (), terms)))
     return writer, read
 
 
@@ -105,7 +107,7 @@
 @pytest.mark.parametrize(("how", "why"), [
     ({"secret": "quite another secret"}, "the secret is wrong"), ({"version": 99}, "version 99"),
     ({"role": "king"}, "role"), ({"index": 7}, "number 7"), ({"count": 5}, "5 forwarders"),
-    ({"name": ""}, "no forwarder")])
+    ({"name": ""}, "no forwarder"), ({"terms": (9.0, 20.0, 0.01, 16.0)}, "life, term, drift and shards")])
 def test_a_peer_without_the_right_gets_nothing_and_is_logged_once(tmp_path, caplog, how, why):
     async def scenario():
         async with planner(tmp_path) as (_, config):
