--- a/benchmarks/planners.py
+++ b/benchmarks/planners.py
@@ -262,7 +262,7 @@
 
 def picture(runs: list[dict[str, Run]], file: str) -> None:
     """Served requests by second, the mean of the seeds, through the planners' deaths."""
-    import matplotlib
+    import matplotlib  # not among the requirements: pip install matplotlib
     matplotlib.use("Agg")
     from matplotlib import pyplot
     figure, axes = pyplot.subplots(figsize=(9, 4))
