Look up a share's count once, and drop what nothing uses

Cause: read over as a whole, the change searched all changes of a Shares event again for each of its keys (up to 512 by 512 on the forwarder's loop), defined the least difference of amounts twice, and kept two things unused. Change: a table of counts; one TINY; Shares.__contains__ and a field of demand's entries are gone.

--- a/micagate/planning/allocate.py
+++ b/micagate/planning/allocate.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Sequence
 
-TINY = 1e-9
+TINY = 1e-9  # differences of amounts below this are none
 
 
 def max_min(needs: Sequence[float], whole: float, weights: Sequence[float] | None = None) -> list[float]:
--- a/micagate/planning/demand.py
+++ b/micagate/planning/demand.py
@@ -16,13 +16,12 @@
 
 
 class _Seen:
-    __slots__ = ("first", "count", "rate", "peak", "at", "whole", "burst", "open", "most")
+    __slots__ = ("first", "count", "rate", "peak", "whole", "burst", "open", "most")
 
-    def __init__(self, tally: Tally, now: float) -> None:
+    def __init__(self, tally: Tally) -> None:
         self.first, self.count = tally.first, tally.count
         self.rate = self.peak = self.most = 0.0
         self.whole, self.burst, self.open = tally.whole, tally.burst, tally.open
-        self.at = now
 
 
 class Demands:
@@ -44,7 +43,7 @@
         for tally in tallies:
             asked[tally.key] = tally
             if tally.key not in self._seen:
-                self._seen[tally.key] = _Seen(tally, now)
+                self._seen[tally.key] = _Seen(tally)
         return list(self._demands(passed, rise, asked))
 
     def _demands(self, passed: float, rise: float, asked: dict[str, Tally]) -> Iterator[Demand]:
--- a/micagate/planning/holder.py
+++ b/micagate/planning/holder.py
@@ -14,7 +14,8 @@
 
 from micagate import interface as i
 from micagate.interface import Share, Shares
-from micagate.planning.messages import TINY, Amount, Call, Fill, Need, Report, Word
+from micagate.planning.allocate import TINY
+from micagate.planning.messages import Amount, Call, Fill, Need, Report, Word
 from micagate.planning.terms import Terms
 
 CHANGE, LEAST = 0.15, 0.02  # a need is told anew once it has changed by this share of it, and so much
--- a/micagate/planning/ledger.py
+++ b/micagate/planning/ledger.py
@@ -11,8 +11,8 @@
 import math
 from collections.abc import Container
 
-from micagate.planning.allocate import targets
-from micagate.planning.messages import TINY, Again, Amount, Call, Fill, Report, Word
+from micagate.planning.allocate import TINY, targets
+from micagate.planning.messages import Again, Amount, Call, Fill, Report, Word
 from micagate.planning.terms import Terms
 
 UNTOLD = 1 << 62
--- a/micagate/planning/messages.py
+++ b/micagate/planning/messages.py
@@ -11,7 +11,6 @@
 import msgspec
 
 LONGEST_KEY = 256
-TINY = 1e-9  # differences of amounts below this are none
 
 
 class Need(msgspec.Struct, frozen=True, array_like=True):
--- a/micagate/quotas.py
+++ b/micagate/quotas.py
@@ -148,12 +148,13 @@
         them. Nothing is made anew by a move, so that all gateways together keep burst and rate.
         """
         touched = {}
+        counts = {share.key: share.count for share in event.changes}
         for key in (*(share.key for share in event.changes), *(fill.key for fill in event.fills)):
             kind, _, rest = key.partition("/")
             name, _, customer = rest.partition("/")
             if kind == "c" and (plan := plans.get(name)) is not None:
                 known = self._accounts.get((customer, name))
-                count = next((share.count for share in event.changes if share.key == key), 1)
+                count = counts.get(key, 1)
                 if known is not None or count > 1:
                     touched[key] = self.account(now, customer, plan, known.spread if known else count)
         before = {key: (account.span, account.store, account.ceiling) for key, account in touched.items()}
--- a/micagate/shares.py
+++ b/micagate/shares.py
@@ -42,9 +42,6 @@
         if not held:
             del self._amounts[key]
 
-    def __contains__(self, key: str) -> bool:
-        return key in self._amounts
-
     def __len__(self) -> int:
         return len(self._amounts)
 
