Bound customers' accounts by a number, and remember what those let go still owe

Need: whoever could make up customers could stop a gatekeeper: a million seen once held 561 MB, and the step that first let idle ones go stopped the loop for 1.05 s.

Accounts are in two queues of at most 15,000, those that asked once apart from those that asked again; a step looks at two of each. What an account lacks when it goes is kept in a sketch of fixed size, never too small: ceilings hold when it comes back (micagate/accounts.py).

--- a/micagate/gateway.py
+++ b/micagate/gateway.py
@@ -10,8 +10,9 @@
 from random import Random
 
 from micagate import interface as i
+from micagate.accounts import Account
 from micagate.fleet import STALL, Fleet
-from micagate.quotas import Account, Quotas
+from micagate.quotas import Quotas
 from micagate.shares import Shares
 from micagate.throttle import Throttle
 
@@ -54,7 +55,7 @@
         self._random = Random(seed)
         self.throttle = Throttle(now, len(settings.plans))
         shares = Shares()
-        self.quotas = Quotas(now, shares)
+        self.quotas = Quotas(now, shares, settings.accounts, str(seed))
         self.fleet = Fleet(settings, self._random, now, shares)
         self._pending: dict[str, Pending] = {}
         self._out: dict[tuple[str, int], Attempt] = {}
--- a/micagate/interface.py
+++ b/micagate/interface.py
@@ -85,9 +85,10 @@
     ramp_time: float = 0.0
     overload_factor: float = 2.0
     fall_time: float = 1.0
+    accounts: int = 30_000  # customers that are kept in memory, but for those with something out
 
     def __post_init__(self) -> None:
-        _check(self, 1, ("gateways", "max_attempts", "overload_factor"))
+        _check(self, 1, ("gateways", "max_attempts", "overload_factor", "accounts"))
         _check(self, 0.0, ("tick", "max_retry_advice", "meter_period", "cold_from", "ramp_time", "fall_time"))
         for name in ("classes", "plans"):
             names = [entry.name for entry in getattr(self, name)]
--- a/micagate/quotas.py
+++ b/micagate/quotas.py
@@ -3,66 +3,26 @@
 from __future__ import annotations
 
 import math
-from collections import OrderedDict
 from collections.abc import Mapping
 
 from micagate import interface as i
+from micagate.accounts import Account, Debts, Table
 from micagate.shares import Shares, customer_key
 
 DECAY = 0.7  # of the forecast, each second (ours)
 LONG_DECAY = 0.95  # of the longer forecast, for customers that come to this gateway seldom (ours)
 LEAST = 2.0  # requests that a part of the store should hold; thinner ones get credit (ours)
-SMOOTH = 2.0  # seconds that a reading of the meter should span; shorter ones are averaged (ours)
 AIMED = 0.9  # of the quota: what the slices steer the metered use to (ours)
-UNSEEN = 0.5  # use taken for granted before the first reading: most customers are calm (ours)
 IDLE = 30.0  # seconds after which an idle customer's entry may go (ours)
 
 
-class Account:
-    """One customer as this gateway knows it."""
-
-    __slots__ = ("plan", "spread", "over", "span", "key", "first", "tally", "most", "depth", "floor", "slice",
-                 "store", "ceiling", "at", "tick", "asked", "forecast", "longer", "top", "use", "read",
-                 "readings", "fresh", "out")
-
-    def __init__(self, plan: i.Plan, key: str, spread: int, now: float, born: float) -> None:
-        self.plan, self.key, self.spread = plan, key, spread
-        # What the whole rate, and the whole stores, are divided by to give this gateway's.
-        self.over: float = spread
-        self.span: float = spread
-        self.first, self.tally, self.most = 0, 0.0, 0
-        self.depth, self.floor = plan.burst / spread, plan.rate / spread
-        self.slice, self.store = self.floor, self.depth
-        # An earlier life of this gateway may have spent its share of the ceiling: it fills from this birth.
-        self.ceiling = min(plan.ceiling_depth, (now - born) * plan.ceiling_rate) / spread
-        self.at = self.tick = now
-        self.asked = self.forecast = self.longer = self.top = 0.0
-        self.use, self.read, self.readings, self.fresh = UNSEEN, now, 0, False
-        self.out = 0
-
-    def metered(self, now: float, used: float, period: float) -> None:
-        """A reading of the meter, averaged with those before where the meter's period is short.
-
-        Guards against coarse readings: one unit in a short period looks like many times the rate.
-        """
-        smooth = max(1e-9, SMOOTH - period)
-        self.readings += 1
-        weight = max(1 - math.exp((self.read - now) / smooth), 1 / (1 + self.readings))
-        self.use += (used - self.use) * weight
-        self.read, self.fresh = now, True
-
-    def room(self) -> float:
-        """How sure it is that the quota has room: 1 while the meter shows half in use, 0 from all on."""
-        return min(1.0, max(0.0, 2 * (1 - self.use)))
-
-
 class Quotas:
     """Stores, metered slices, ceilings and at-once caps of the customers."""
 
-    def __init__(self, now: float, shares: Shares | None = None) -> None:
+    def __init__(self, now: float, shares: Shares | None = None, most: int = 30_000, salt: str = "") -> None:
         self._born, self._shares = now, Shares() if shares is None else shares
         self._surveyed: dict[str, Account] | None = None  # asked since the last survey, if any
-        self._accounts: OrderedDict[tuple[str, str], Account] = OrderedDict()
+        self.table, self._debts = Table(most), Debts(salt)
 
     def account(self, now: float, customer: str, plan: i.Plan, spread: int) -> Account:
         """The customer's entry brought up to now; entries idle for long and full again are dropped.
@@ -70,27 +30,40 @@
         Guards against requests that name a customer wrongly: another plan has an entry of its own, and
         another set only moves the bounds, so that neither fills a store again.
         """
-        while self._accounts:
-            name, oldest = next(iter(self._accounts.items()))
-            if now - oldest.at < IDLE or oldest.out:
-                break
-            self._refill(now, oldest)
-            if oldest.ceiling < oldest.plan.ceiling_depth / oldest.span:
-                self._accounts.move_to_end(name)
-            else:
-                del self._accounts[name]
-        key = customer, plan.name
-        account = self._accounts.get(key)
+        self._let_go(now)
+        key = customer_key(plan.name, customer)
+        account = self.table.get(key)
         if account is None:
-            account = self._accounts[key] = Account(
-                plan, customer_key(plan.name, customer), spread, now, self._born)
+            account = Account(plan, key, spread, now, self._born)
+            account.owe(self._debts.owed(now, key))
         elif account.spread != spread:
             account.spread = spread
             self._divide(account, spread, spread)
-        self._accounts.move_to_end(key)
+        self.table.use(account)
         self._refill(now, account)
         return account
 
+    def _let_go(self, now: float) -> None:
+        """Drop a few entries: idle ones that are full again, and whatever is too many.
+
+        Guards memory, and each step's time, against customers that are made up. What an entry was short of is
+        kept among the debts, so that it is not fresh when it comes back. Harm: it has lost its forecast.
+        """
+        for entry, over in self.table.oldest():
+            if entry.out:
+                self.table.spare(entry)
+                continue
+            if not over and now - entry.at < IDLE:
+                continue
+            self._refill(now, entry)
+            short = entry.ceiling < entry.plan.ceiling_depth / entry.span
+            if (short and not over) or entry.over != entry.spread:
+                self.table.spare(entry)  # what is lent of it fills elsewhere: debts couldn't tell
+                continue
+            if over:
+                self._debts.add(now, entry.key, entry.short())
+            self.table.drop(entry)
+
     @staticmethod
     def _divide(a: Account, over: float, span: float) -> None:
         a.over, a.span, a.depth, a.floor = over, span, a.plan.burst / span, a.plan.rate / over
@@ -153,7 +126,7 @@
             kind, _, rest = key.partition("/")
             name, _, customer = rest.partition("/")
             if kind == "c" and (plan := plans.get(name)) is not None:
-                known = self._accounts.get((customer, name))
+                known = self.table.get(key)
                 count = counts.get(key, 1)
                 if known is not None or count > 1:
                     touched[key] = self.account(now, customer, plan, known.spread if known else count)
