Rise less at once towards a worker that was slow, and count a first survey only once

A worker slowed to a tenth and asked little was thought able of all it once did within 2 s, and got up to 380 requests in two seconds where it could do 80; one that was back, asked little and not brisk to a third did not rise at all.

A forwarder's first tally of a worker held the attempts of several surveys, over one.

--- a/micagate/fleet.py
+++ b/micagate/fleet.py
@@ -195,21 +195,22 @@
             self._surveyed = True
             for worker in self.workers.values():
                 worker.busy_at = now
-        if self._brisk == math.inf or passed <= 0:
-            return []
+        tallies: list[i.Tally] = []
+        known = self._brisk < math.inf and passed > 0
         self._fade(now)
         pace = self._done / RECENT / max(1, self.serving)
-        tallies = []
         for name, worker in self.workers.items():
+            asked, worker.asked = worker.asked, 0
+            if not known:
+                continue
             started = worker.entry.started
             if worker.usable and started is not None and now - started < self._s.ramp_time:
                 warm = self._warmth(now, started)
                 tallies.append(i.Tally(worker_key(name), 0, self._s.gateways, pace * passed, 0.0,
                                        warm / self._brisk, 0.0, 0.0))
             elif worker.usable and (whole := self._shares.pace(now, worker_key(name))):
-                tallies.append(i.Tally(worker_key(name), 0, self._s.gateways, worker.asked, 0.0, whole,
+                tallies.append(i.Tally(worker_key(name), 0, self._s.gateways, asked, 0.0, whole,
                                        0.0, 0.0))
-            worker.asked = 0
         return tallies
 
     def works(self, now: float) -> list[i.Work]:
--- a/micagate/planning/pace.py
+++ b/micagate/planning/pace.py
@@ -79,7 +79,7 @@
         span = self._span(now)
         if answered < ENOUGH and busy < ENOUGH * span:
             if self.pace:  # too little is asked of it to tell: it is tried with more
-                self.pace = max(self.pace, min(self._best, self.pace * math.exp(FAST * passed)))
+                self.pace = max(self.pace, min(self._best, self.pace * math.exp(RISE * passed)))
             return self.pace
         if now - self._turned_at >= WINDOW:
             self._turned_at, self._before, self._least = now, self._least, math.inf
@@ -98,7 +98,7 @@
             risen = self.pace * math.exp((FAST if brisk else RISE) * passed)
             if rate > USED * self.pace:
                 self.pace = max(rate, risen)
-            elif brisk:  # no more than it could do of late is risked without its being asked for that
+            else:  # no more than it could do of late is risked without its being asked for that
                 self.pace = max(self.pace, min(self._best, risen))
         self._best = max(self._best, self.pace)
         return self.pace
