--- a/benchmarks/planner_workers.py
+++ b/benchmarks/planner_workers.py
@@ -61,8 +61,6 @@
     rate = case.load * sum(model.cores * model.speed for model in models) / WORK
     made = Cluster(seed, [rate / FORWARDERS] * FORWARDERS, {f"w{n}": model for n, model in enumerate(models)}, SETTINGS,
                    planner=True, paces=paces)
-    made.clock.run(4.0)
-    before = made.ends
 
     def slow(by: float) -> None:
         for n in (5, 7):
@@ -71,10 +69,7 @@
     if case.slowing:
         made.clock.at(4.0 + seconds / 4, slow, 0.25)
         made.clock.at(4.0 + seconds * 5 / 8, slow, 1.0)
-    made.clock.run(4.0 + seconds)
-    ends = made.ends
-    ends.subtract(before)
-    return ends["served"] / ends.total()
+    return made.served(4.0, 4.0 + seconds)
 
 
 @dataclass(slots=True)
--- a/micagate/accounts.py
+++ b/micagate/accounts.py
@@ -1,17 +1,14 @@
-"""Customers' accounts, in a table that is bounded by a number, and what those that were let go still owe."""
+"""Customers' accounts, and a table of them that is bounded by a number."""
 
 from __future__ import annotations
 
-import hashlib
 import math
 from collections import OrderedDict
-from collections.abc import Iterator
 
 from micagate import interface as i
 
 SMOOTH = 2.0  # seconds that a reading of the meter should span; shorter ones are averaged (ours)
 UNSEEN = 0.5  # use taken for granted before the first reading: most customers are calm (ours)
-SLOTS = 1 << 15  # of each of the two rows of debts (ours)
 
 
 class Account:
@@ -74,7 +71,8 @@
     def __init__(self, most: int) -> None:
         self._once: OrderedDict[str, Account] = OrderedDict()
         self._often: OrderedDict[str, Account] = OrderedDict()
-        self._most = max(1, most // 2)
+        self.queues = self._once, self._often  # each by last use, the longest ago first
+        self.most = max(1, most // 2)  # of each
 
     def __len__(self) -> int:
         return len(self._once) + len(self._often)
@@ -91,48 +89,3 @@
             self._often[account.key] = account
         else:
             self._once[account.key] = account
-
-    def oldest(self) -> Iterator[tuple[Account, bool]]:
-        """The longest unused of each queue, at most two of it, and whether there are too many there."""
-        for queue in (self._once, self._often):
-            for _ in range(2):
-                if queue:
-                    yield next(iter(queue.values())), len(queue) > self._most
-
-    def spare(self, account: Account) -> None:
-        """Keep one that is in use, or not full again yet."""
-        (self._often if account.key in self._often else self._once).move_to_end(account.key)
-
-    def drop(self, account: Account) -> None:
-        """Let an account go."""
-        self._once.pop(account.key, None)
-        self._often.pop(account.key, None)
-
-
-class Debts:
-    """When accounts that were let go before they were full again would have been so, in bounded memory.
-
-    Each is written in one place of each of two rows, the latest time wins, and the earlier of both is read
-    (a count-min sketch: Cormode, Muthukrishnan 2005): so a time may be too late, never too early. Harm: in
-    a flood of customers with debts a new one may be taken for one of them, and begins with less.
-    """
-
-    def __init__(self, salt: str) -> None:
-        # Salted: nobody can choose names that share their places with somebody else's.
-        self._salt = salt.encode()[:64]
-        self._rows = [-math.inf] * SLOTS, [-math.inf] * SLOTS
-
-    def _places(self, key: str) -> tuple[int, int]:
-        digest = int.from_bytes(hashlib.blake2b(key.encode(), digest_size=8, key=self._salt).digest(), "big")
-        return digest % SLOTS, (digest >> 32) % SLOTS
-
-    def add(self, now: float, key: str, seconds: float) -> None:
-        """An account goes that would take so long to be full again."""
-        if seconds > 0:
-            for row, place in zip(self._rows, self._places(key), strict=True):
-                row[place] = max(row[place], now + seconds)
-
-    def owed(self, now: float, key: str) -> float:
-        """The seconds of filling that a returning account is short of."""
-        times = [row[place] for row, place in zip(self._rows, self._places(key), strict=True)]
-        return max(0.0, min(times) - now)
--- a/micagate/fleet.py
+++ b/micagate/fleet.py
@@ -8,6 +8,7 @@
 
 from micagate import interface as i
 from micagate.shares import Shares, worker_key
+from micagate.workload import Workload
 
 # All ours, since the design leaves the choice of a worker open.
 LEARN = 0.15  # weight of a new answer in what was learned
@@ -32,7 +33,7 @@
     """A worker as this gateway knows it."""
 
     __slots__ = ("entry", "usable", "slow", "learned", "out", "heard", "latest", "losses", "fails",
-                 "until", "held", "turn", "pause", "rank", "ends", "load", "asked", "busy", "busy_at")
+                 "until", "held", "turn", "pause", "rank")
 
     def __init__(self, entry: i.WorkerEntry, slow: float, now: float, rank: float) -> None:
         self.entry = entry
@@ -48,14 +49,6 @@
         self.turn: float | None = None  # when this gateway may next send to it while it is too cold for all
         self.pause = 0.0
         self.held: deque[float] = deque()  # ends of the places that time-outs and refusals still hold
-        # Since the survey: answered, refused, missed, failed; what the answered took; sent; what was out
-        self.ends, self.load, self.asked = [0, 0, 0, 0], 0.0, 0
-        self.busy, self.busy_at = 0.0, now
-
-    def tick(self, now: float) -> None:
-        """Add up what was out, before that changes."""
-        self.busy += len(self.out) * (now - self.busy_at)
-        self.busy_at = now
 
 
 class Fleet:
@@ -73,8 +66,8 @@
         self.serving = 0
         self._brisk = math.inf  # the shortest usual answer time so far, of the class that takes longest
         self._answers = 0
-        self._surveyed_at, self._surveyed = now, False
-        self._least: dict[str, float] = {}  # by class: the shortest usual answer time so far
+        self._surveyed_at = now
+        self._workload: Workload | None = None  # counted once a survey has asked for it
         self._near: list[Worker] = []  # the own few of the usable ones
         self._aim = min(c.aim for c in settings.classes)
 
@@ -154,16 +147,12 @@
         (factor - 1) x capacity x span; each gateway takes its own share of the rate a warm one serves it,
         or of one core at the briskest answer time known: in a jam the rate served says nothing.
         """
-        started = worker.entry.started
-        if started is None or now - started >= self._s.ramp_time:
+        if (warm := self._warmth(now, worker)) is None:
             return True
-        warm = self._warmth(now, started)
-        self._fade(now)
         over: float = self._s.gateways
         if self._shares:
             over, _ = self._shares.over(now, worker_key(worker.entry.worker), over)
-        rate = self._done / RECENT / max(1, self.serving)
-        cap = (self._s.overload_factor - 1) * warm * rate * self._s.fall_time
+        cap = (self._s.overload_factor - 1) * warm * self._rate(now) * self._s.fall_time
         alone = (self._s.overload_factor - 1) * warm * self._s.fall_time / self._brisk / over
         if over > self._s.gateways:
             cap *= self._s.gateways / over  # lent; what is borrowed only shortens the turns
@@ -183,47 +172,41 @@
             worker.held.popleft()
         return len(worker.out) + len(worker.held) < max(1, int(cap))
 
-    def _warmth(self, now: float, started: float) -> float:
-        """The share of its capacity that a worker has which started so lately."""
+    def _rate(self, now: float) -> float:
+        """What a warm worker serves this gateway in a second."""
+        self._fade(now)
+        return self._done / RECENT / max(1, self.serving)
+
+    def _warmth(self, now: float, worker: Worker) -> float | None:
+        """The share of its capacity that a worker has which started lately; None for a warm one."""
+        started = worker.entry.started
+        if started is None or now - started >= self._s.ramp_time:
+            return None
         return self._s.cold_from + (1 - self._s.cold_from) * max(0.0, now - started) / self._s.ramp_time
 
     def survey(self, now: float) -> list[i.Tally]:
         """What was sent to each warm worker of known pace; what would be to each cold one, were it warm, and
         what one core of that can do."""
         passed, self._surveyed_at = now - self._surveyed_at, now
-        if not self._surveyed:  # what was out before the first survey is not counted
-            self._surveyed = True
-            for worker in self.workers.values():
-                worker.busy_at = now
-        tallies: list[i.Tally] = []
-        known = self._brisk < math.inf and passed > 0
-        self._fade(now)
-        pace = self._done / RECENT / max(1, self.serving)
+        if self._brisk == math.inf or passed <= 0:
+            return []
+        rate, tallies = self._rate(now), []
         for name, worker in self.workers.items():
-            asked, worker.asked = worker.asked, 0
-            if not known:
-                continue
-            started = worker.entry.started
-            if worker.usable and started is not None and now - started < self._s.ramp_time:
-                warm = self._warmth(now, started)
-                tallies.append(i.Tally(worker_key(name), 0, self._s.gateways, pace * passed, 0.0,
-                                       warm / self._brisk, 0.0, 0.0))
-            elif worker.usable and (whole := self._shares.pace(now, worker_key(name))):
-                tallies.append(i.Tally(worker_key(name), 0, self._s.gateways, asked, 0.0, whole,
-                                       0.0, 0.0))
+            key, warm = worker_key(name), self._warmth(now, worker)
+            if warm is not None:
+                asked, whole = rate * passed, warm / self._brisk
+            else:
+                asked = self._workload.asked(name) if self._workload is not None else 0
+                whole = self._shares.pace(now, key)
+            if worker.usable and whole:
+                tallies.append(i.Tally(key, 0, self._s.gateways, asked, 0.0, whole, 0.0, 0.0))
         return tallies
 
     def works(self, now: float) -> list[i.Work]:
-        """What became of the attempts at each worker since the last survey."""
-        made = []
-        for name, worker in self.workers.items():
-            worker.tick(now)
-            answered, refused, missed, failed = worker.ends
-            if worker.busy or any(worker.ends):
-                made.append(i.Work(worker_key(name), answered, worker.load, worker.busy, refused, missed,
-                                   failed))
-                worker.ends, worker.load, worker.busy = [0, 0, 0, 0], 0.0, 0.0
-        return made
+        """What became of the attempts at each worker since the last call; the first one begins the count."""
+        if self._workload is None:
+            self._workload = Workload()
+        return self._workload.take(now, {name: len(worker.out) for name, worker in self.workers.items()})
 
     def _slow(self, now: float, worker: Worker) -> float:
         """A worker's answer time over the usual; an old judgement fades, so that it is tried again."""
@@ -315,17 +298,17 @@
         """
         once = klass.effect == i.SIDE_EFFECT
         lost = max(STALL, klass.aim / max(self.usual(klass), 1e-6)) if once else STALL
-        waits = self._paced(now, klass, fit) if self._shares.paced else None
-        return min(fit, key=lambda w: ((waits[w.entry.worker] if waits else self._wait(now, w))
-                                       + lost * self._loss(now, w, klass)) * (
-            1.0 + 0.1 * self._random.random())).entry.worker
+        waits = self._paced(now, klass, fit) if self._shares.paces else None
+        waits = waits or [self._slow(now, w) * (1 + len(self._queued(now, w))) * self._far(w) for w in fit]
+        return min(zip(waits, fit, strict=True), key=lambda each: (
+            each[0] + lost * self._loss(now, each[1], klass)) * (
+            1.0 + 0.1 * self._random.random()))[1].entry.worker
 
-    def _wait(self, now: float, worker: Worker) -> float:
-        """The expected wait at a worker, over the usual answer time."""
-        far = 1.0 if worker.entry.zone == self._s.zone else FAR
-        return self._slow(now, worker) * (1 + len(self._queued(now, worker))) * far
+    def _far(self, worker: Worker) -> float:
+        """What a wait elsewhere counts for next to one in the own zone."""
+        return 1.0 if worker.entry.zone == self._s.zone else FAR
 
-    def _paced(self, now: float, klass: i.RequestClass, fit: list[Worker]) -> dict[str, float] | None:
+    def _paced(self, now: float, klass: i.RequestClass, fit: list[Worker]) -> list[float] | None:
         """The expected wait at each worker, over the usual answer time, by this gateway's part of its pace.
 
         None unless the paces of all are known. What is out here over the part of the pace is the time that it
@@ -334,15 +317,14 @@
         gateways of which each learns late which workers are slow or small. Harm: answer times that differ
         with no queue count for nothing.
         """
-        waits = {}
+        waits = []
         for worker in fit:
             key = worker_key(worker.entry.worker)
             if not (pace := self._shares.pace(now, key)):
                 return None
             over, _ = self._shares.over(now, key, self._s.gateways)
-            far = 1.0 if worker.entry.zone == self._s.zone else FAR
             out = 1.0 / self._s.gateways + len(self._queued(now, worker))
-            waits[worker.entry.worker] = far * out * over / pace / max(self.usual(klass), 1e-6)
+            waits.append(self._far(worker) * out * over / pace / max(self.usual(klass), 1e-6))
         return waits
 
     def _loss(self, now: float, worker: Worker, klass: i.RequestClass) -> float:
@@ -363,23 +345,13 @@
     def sent(self, now: float, name: str, key: tuple[str, int], klass: i.RequestClass) -> None:
         """An attempt has gone to a worker."""
         worker = self.workers[name]
-        if self._surveyed:
-            worker.tick(now)
-            worker.asked += 1
+        if self._workload is not None:
+            self._workload.sent(now, name, len(worker.out))
         worker.out[key] = now
         self._waiting[key] = (now, klass.aim, worker)
         if worker.turn is not None:
             worker.turn = now + worker.pause * (0.5 + self._random.random())
 
-    def _worked(self, worker: Worker, klass: i.RequestClass, status: str, took: float) -> None:
-        """Count an outcome for the next survey."""
-        if status == i.SUCCESS:
-            least = self._least[klass.name] = min(self._least.get(klass.name, math.inf), self.usual(klass))
-            worker.ends[0] += 1
-            worker.load += took / max(least, 1e-6)
-        elif status not in (i.CANCELLED, i.VOID):
-            worker.ends[{i.FULL: 1, i.TIMED_OUT: 2}.get(status, 3)] += 1
-
     def given_up(self, now: float, key: tuple[str, int]) -> None:
         """An attempt is past its aim: it has told of its lateness, and may be lost rather than waiting."""
         if (waited := self._waiting.pop(key, None)) is not None:
@@ -420,13 +392,11 @@
         """An attempt's outcome, whatever became of its request."""
         self._waiting.pop(key, None)
         worker = self.workers.get(name)
-        if worker is not None and self._surveyed:
-            worker.tick(now)
         sent = worker.out.pop(key, None) if worker is not None else None
         if worker is None or sent is None:
             return
-        if self._surveyed:
-            self._worked(worker, klass, status, took)
+        if self._workload is not None:
+            self._workload.ended(now, name, len(worker.out) + 1, klass.name, self.usual(klass), status, took)
         if status in (i.TIMED_OUT, i.FULL, i.UNREACHABLE):
             worker.held.append(now + self._s.fall_time)
         if status in (i.CANCELLED, i.VOID):
--- a/micagate/gateway.py
+++ b/micagate/gateway.py
@@ -86,9 +86,9 @@
             case i.Shares():
                 if freed := self.quotas.shared(now, event, self._plans):
                     self._actions.append(i.Freed(tuple(freed)))
-            case i.Survey():
-                self._actions.append(i.Tallies((*self.quotas.survey(), *self.fleet.survey(now)),
-                                               tuple(self.fleet.works(now))))
+            case i.Survey(works):
+                tallies = (*self.quotas.survey(), *self.fleet.survey(now))
+                self._actions.append(i.Tallies(tallies, tuple(self.fleet.works(now)) if works else ()))
         return self._actions
 
     def _list(self, now: float, event: i.WorkerList) -> None:
--- a/micagate/interface.py
+++ b/micagate/interface.py
@@ -297,7 +297,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Survey:
-    """Asks for a `Tallies`; the first one begins the counting."""
+    """Asks for a `Tallies`; the first one begins the counting, the first with `works` that of workers."""
+
+    works: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/micagate/planning/holder.py
+++ b/micagate/planning/holder.py
@@ -15,7 +15,7 @@
 from micagate import interface as i
 from micagate.interface import Share, Shares
 from micagate.planning.allocate import TINY
-from micagate.planning.messages import MOST, Amount, Call, Fill, Need, Report, Word, Work
+from micagate.planning.messages import AMOUNTS, MOST, Amount, Call, Fill, Need, Report, Word, Work
 from micagate.planning.terms import Terms
 
 CHANGE, LEAST = 0.15, 0.02  # a need is told anew once it has changed by this share of it, and so much
@@ -57,7 +57,7 @@
         self.counts: dict[str, int] = {}  # how many share what is lent or borrowed
         self.fills: list[Fill] = []  # what came with shares, for the module
         self.lefts: list[Fill] = []  # what left the stores with shares, for the planner
-        self.works: dict[str, i.Work] = {}  # what was seen of workers, for the planner
+        self.works: dict[str, Work] = {}  # what was seen of workers, for the planner
         self.paces: dict[str, float] = {}  # of workers, as told and not yet handed to the module
         self.taken: tuple[float, float] | None = None  # both ends, as the module has them
         self.touched: dict[str, None] = {}  # things whose lent or borrowed amount has changed
@@ -175,9 +175,8 @@
             if session is None or not session.live:
                 continue
             known = session.works.get(work.key)
-            session.works[work.key] = work if known is None else i.Work(work.key, *(
-                getattr(known, name) + getattr(work, name)
-                for name in ("answered", "load", "busy", "refused", "missed", "failed")))
+            session.works[work.key] = Work(work.key, *(
+                min(MOST, getattr(work, name) + getattr(known, name, 0)) for name in AMOUNTS))
 
     # What planners say.
 
@@ -278,10 +277,7 @@
         lefts, session.lefts = session.lefts[:self._t.entries], session.lefts[self._t.entries:]
         works: list[Work] = []
         while session.works and len(works) < self._t.entries:
-            key, seen = session.works.popitem()
-            works.append(Work(key, min(int(MOST), seen.answered), min(MOST, seen.load), min(MOST, seen.busy),
-                              min(int(MOST), seen.refused), min(int(MOST), seen.missed),
-                              min(int(MOST), seen.failed)))
+            works.append(session.works.popitem()[1])
         session.reported += 1
         session.urgent = False
         session.sent_at = now
--- a/micagate/planning/ledger.py
+++ b/micagate/planning/ledger.py
@@ -13,7 +13,7 @@
 
 from micagate.planning.allocate import TINY, targets
 from micagate.planning.messages import MOST, Again, Amount, Call, Fill, Pace, Report, Word
-from micagate.planning.pace import Estimate, Seen
+from micagate.planning.pace import Estimate
 from micagate.planning.terms import Terms
 
 UNTOLD = 1 << 62
@@ -187,8 +187,7 @@
                     self.left_out += 1
                     continue
                 self._workers[work.key] = Estimate(now)
-            self._workers[work.key].report(now, Seen(work.answered, work.load, work.busy, work.refused,
-                                                     work.missed, work.failed))
+            self._workers[work.key].report(now, work)
             session.works[work.key] = None
         for lend in report.lends:
             if lend.key in session.calls:  # nobody lends uncalled
--- a/micagate/planning/messages.py
+++ b/micagate/planning/messages.py
@@ -11,7 +11,7 @@
 import msgspec
 
 LONGEST_KEY = 256
-MOST = 1e6  # answers, attempts or attempts x seconds in one report: more is a lie or a broken counter
+MOST = 1_000_000  # answers, attempts or attempts x seconds in one report: more is a lie or a broken counter
 
 
 class Need(msgspec.Struct, frozen=True, array_like=True):
@@ -58,6 +58,9 @@
     failed: int
 
 
+AMOUNTS = Work.__struct_fields__[1:]
+
+
 class Pace(msgspec.Struct, frozen=True, array_like=True):
     """What a worker can do for all forwarders together, answers a second; 0 where that is not known."""
 
@@ -145,7 +148,7 @@
     if isinstance(message, Report):
         for work in message.works:
             _key("works.key", work.key)
-            for name in ("answered", "load", "busy", "refused", "missed", "failed"):
+            for name in AMOUNTS:
                 _amount(f"works.{name}", getattr(work, name))
         for need in message.needs:
             _key("needs.key", need.key)
--- a/micagate/planning/pace.py
+++ b/micagate/planning/pace.py
@@ -9,7 +9,8 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
+
+from micagate.planning.messages import AMOUNTS, Work
 
 SPAN = 1.0  # seconds over which reports are averaged
 ENOUGH = 8.0  # answers within the span under which nothing is said
@@ -27,18 +28,6 @@
 SILENT = 5.0  # seconds without a report after which nothing is known
 
 
-@dataclass(frozen=True, slots=True)
-class Seen:
-    """What was seen of a worker in a while, as in `micagate.interface.Work`."""
-
-    answered: int
-    load: float
-    busy: float
-    refused: int
-    missed: int
-    failed: int
-
-
 class Estimate:
     """One worker's pace, answers a second; `now` is one clock throughout."""
 
@@ -46,17 +35,16 @@
 
     def __init__(self, now: float) -> None:
         self._at = self._began = self._heard = self._decided = self._turned_at = now
-        self._sums = [0.0] * 6
+        self._sums = [0.0] * len(AMOUNTS)
         self._least = self._before = math.inf  # answer time in this window, and in the one before
         self.pace = 0.0  # 0: not known
         self._best = 0.0  # the most of late
 
-    def report(self, now: float, seen: Seen) -> None:
+    def report(self, now: float, work: Work) -> None:
         """A forwarder has told what it saw."""
         self._fade(now)
         self._heard = now
-        for n, amount in enumerate((seen.answered, seen.load, seen.busy, seen.refused, seen.missed, seen.failed)):
-            self._sums[n] += amount
+        self._sums = [total + getattr(work, name) for total, name in zip(self._sums, AMOUNTS, strict=True)]
 
     def _fade(self, now: float) -> None:
         if now > self._at:
--- a/micagate/quotas.py
+++ b/micagate/quotas.py
@@ -6,7 +6,8 @@
 from collections.abc import Mapping
 
 from micagate import interface as i
-from micagate.accounts import Account, Debts, Table
+from micagate.accounts import Account, Table
+from micagate.debts import Debts
 from micagate.shares import Shares, customer_key
 
 DECAY = 0.7  # of the forecast, each second (ours)
@@ -49,20 +50,20 @@
         Guards memory, and each step's time, against customers that are made up. What an entry was short of is
         kept among the debts, so that it is not fresh when it comes back. Harm: it has lost its forecast.
         """
-        for entry, over in self.table.oldest():
-            if entry.out:
-                self.table.spare(entry)
-                continue
-            if not over and now - entry.at < IDLE:
-                continue
-            self._refill(now, entry)
-            short = entry.ceiling < entry.plan.ceiling_depth / entry.span
-            if (short and not over) or entry.over != entry.spread:
-                self.table.spare(entry)  # what is lent of it fills elsewhere: debts couldn't tell
-                continue
-            if over:
-                self._debts.add(now, entry.key, entry.short())
-            self.table.drop(entry)
+        for queue in self.table.queues:
+            for _ in range(2):
+                entry, over = next(iter(queue.values()), None), len(queue) > self.table.most
+                if entry is None or not over and now - entry.at < IDLE:
+                    break
+                self._refill(now, entry)
+                short = not over and entry.ceiling < entry.plan.ceiling_depth / entry.span
+                # What is lent or borrowed fills elsewhere: debts couldn't tell.
+                if entry.out or short or entry.over != entry.spread:
+                    queue.move_to_end(entry.key)
+                    continue
+                if over:
+                    self._debts.add(now, entry.key, entry.short())
+                del queue[entry.key]
 
     @staticmethod
     def _divide(a: Account, over: float, span: float) -> None:
--- a/micagate/shares.py
+++ b/micagate/shares.py
@@ -14,59 +14,39 @@
 
 MOVED = 0.7  # of the stores behind a share, which moves with it (ours)
 
+_Told = dict[str, dict[int, tuple[float, ...]]]  # by thing and session; the latest told is the last
+
 
 class Shares:
     """What is lent and borrowed of each thing."""
 
     def __init__(self) -> None:
         self._ends: dict[int, tuple[float, float]] = {}  # by session: of what is lent, of what is borrowed
-        self._amounts: dict[str, dict[int, tuple[float, float]]] = {}
-        self._paces: dict[str, dict[int, float]] = {}
+        self._amounts: _Told = {}  # by session: what is lent and what is borrowed
+        self.paces: _Told = {}  # by session: what a worker can do
 
     def change(self, event: i.Shares) -> None:
         """Follow a session; one whose both ends are past is forgotten with its amounts."""
         if event.over:
             self._ends.pop(event.session, None)
-            for key in [key for key, held in self._amounts.items() if event.session in held]:
-                self._set(key, event.session, 0.0, 0.0)
-            for key in [key for key, told in self._paces.items() if event.session in told]:
-                self._tell(key, event.session, 0.0)
+            for key in list(self._amounts):
+                _put(self._amounts, key, event.session)
+            for key in list(self.paces):
+                _put(self.paces, key, event.session)
             return
         self._ends[event.session] = event.lent_until, event.borrowed_until
         for share in event.changes:
-            self._set(share.key, event.session, share.lent, share.borrowed)
+            _put(self._amounts, share.key, event.session, share.lent, share.borrowed)
         for pace in event.paces:
-            self._tell(pace.key, event.session, pace.pace)
-
-    def _tell(self, key: str, session: int, pace: float) -> None:
-        told = self._paces.setdefault(key, {})
-        told.pop(session, None)
-        if pace:
-            told[session] = pace  # the latest told is the last
-        if not told:
-            del self._paces[key]
-
-    @property
-    def paced(self) -> bool:
-        """Whether the pace of any worker has been told."""
-        return bool(self._paces)
+            _put(self.paces, pace.key, event.session, pace.pace)
 
     def pace(self, now: float, key: str) -> float:
         """What a worker can do for all gateways together, answers a second; 0 where that is not known."""
-        for session, pace in reversed(self._paces.get(key, {}).items()):
+        for session, (pace,) in reversed(self.paces.get(key, {}).items()):
             if now < self._ends[session][1]:
                 return pace
         return 0.0
 
-    def _set(self, key: str, session: int, lent: float, borrowed: float) -> None:
-        held = self._amounts.setdefault(key, {})
-        if lent or borrowed:
-            held[session] = lent, borrowed
-        else:
-            held.pop(session, None)
-        if not held:
-            del self._amounts[key]
-
     def __len__(self) -> int:
         return len(self._amounts)
 
@@ -91,6 +71,16 @@
         return 1.0 / rate if rate > 0 else math.inf, 1.0 / room if room > 0 else math.inf
 
 
+def _put(table: _Told, key: str, session: int, *values: float) -> None:
+    """Set what a session tells of a thing, as the latest of it; where all is 0, or nothing, forget it."""
+    held = table.setdefault(key, {})
+    held.pop(session, None)
+    if any(values):
+        held[session] = values
+    if not held:
+        del table[key]
+
+
 def customer_key(plan: str, customer: str) -> str:
     """The thing that a customer's quota and ceiling are."""
     return f"c/{plan}/{customer}"
--- /dev/null
+++ b/micagate/workload.py
@@ -0,0 +1,74 @@
+"""What became of attempts at each worker, counted for planners between two surveys. Decides nothing."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping
+
+from micagate import interface as i
+from micagate.shares import worker_key
+
+KINDS = {i.FULL: "refused", i.TIMED_OUT: "missed"}  # all else that is no answer, and was not called off: failed
+
+
+class _Counts:
+    __slots__ = ("asked", "answered", "load", "busy", "refused", "missed", "failed", "at")
+
+    def __init__(self, now: float) -> None:
+        self.asked = self.answered = self.refused = self.missed = self.failed = 0
+        self.load = self.busy = 0.0
+        self.at = now
+
+    def tick(self, now: float, out: int) -> None:
+        """Add up what was out, before that changes."""
+        self.busy += out * (now - self.at)
+        self.at = now
+
+
+class Workload:
+    """The counts of all workers; what is out is told with each change, as it was before."""
+
+    def __init__(self) -> None:
+        self._counts: dict[str, _Counts] = {}
+        self._least: dict[str, float] = {}  # by class: the shortest usual answer time so far
+
+    def _ticked(self, now: float, worker: str, out: int) -> _Counts:
+        counts = self._counts.get(worker)
+        if counts is None:  # what was out before it was first counted is left out
+            counts = self._counts[worker] = _Counts(now)
+        counts.tick(now, out)
+        return counts
+
+    def sent(self, now: float, worker: str, out: int) -> None:
+        """An attempt goes to a worker that has so many out."""
+        self._ticked(now, worker, out).asked += 1
+
+    def ended(self, now: float, worker: str, out: int, klass: str, usual: float, status: str, took: float) -> None:
+        """One of so many out has ended; `usual` is the usual answer time of its class."""
+        counts = self._ticked(now, worker, out)
+        if status == i.SUCCESS:
+            least = self._least[klass] = min(self._least.get(klass, math.inf), usual)
+            counts.answered += 1
+            counts.load += took / max(least, 1e-6)
+        elif status not in (i.CANCELLED, i.VOID):
+            kind = KINDS.get(status, "failed")
+            setattr(counts, kind, getattr(counts, kind) + 1)
+
+    def asked(self, worker: str) -> int:
+        """How many attempts have gone to a worker since the last survey."""
+        counts = self._counts.get(worker)
+        return counts.asked if counts is not None else 0
+
+    def take(self, now: float, out: Mapping[str, int]) -> list[i.Work]:
+        """What was counted, and begin anew, for workers with so many out; others are forgotten."""
+        made = []
+        before, self._counts = self._counts, {}
+        for worker, many in out.items():
+            if (counts := before.get(worker)) is not None:
+                counts.tick(now, many)
+                work = i.Work(worker_key(worker), counts.answered, counts.load, counts.busy, counts.refused,
+                              counts.missed, counts.failed)
+                if work.busy or work.answered or work.refused or work.missed or work.failed:
+                    made.append(work)
+            self._counts[worker] = _Counts(now)
+        return made
--- a/oliveloft/gatekeeper/bridge.py
+++ b/oliveloft/gatekeeper/bridge.py
@@ -74,9 +74,9 @@
         return next((action.fills for action in self._module.handle(self._loop.time(), event)
                      if isinstance(action, i.Freed)), ())
 
-    def survey(self) -> i.Tallies:
-        """What was asked of each thing, and became of the attempts at each worker, since the last survey."""
-        return next((action for action in self._module.handle(self._loop.time(), i.Survey())
+    def survey(self, works: bool) -> i.Tallies:
+        """What was asked of each thing since the last survey, and what became of attempts at workers."""
+        return next((action for action in self._module.handle(self._loop.time(), i.Survey(works))
                      if isinstance(action, i.Tallies)), i.Tallies(()))
 
     def _hand(self, event: i.Event, about: str) -> None:
--- a/oliveloft/planners/link.py
+++ b/oliveloft/planners/link.py
@@ -32,8 +32,9 @@
     def shares(self, event: i.Shares) -> tuple[i.Fill, ...]:
         """Take shares; what left the stores with those that were given away."""
 
-    def survey(self) -> i.Tallies:
-        """What was asked of each thing, and became of the attempts at each worker, since the last survey."""
+    def survey(self, works: bool) -> i.Tallies:
+        """What was asked of each thing since the last survey, and, if told so, what became of attempts at
+        workers."""
 
 
 class _Line(Peer):
@@ -252,10 +253,9 @@
         now = self.now()
         if now - self._surveyed >= self.config.terms.interval / 2:
             self._surveyed = now
-            seen = self._decisions.survey()
+            seen = self._decisions.survey(self.config.paces)
             self.holder.demand(now, self._demands.survey(now, seen.tallies))
-            if self.config.paces:
-                self.holder.saw(seen.works)
+            self.holder.saw(seen.works)
         self._flush()
         for link in self._links.values():
             line = link.line
--- a/rig/cluster.py
+++ b/rig/cluster.py
@@ -77,10 +77,9 @@
     def _exchange(self) -> None:
         now = self.clock.now
         for n, holder in enumerate(self.holders):
-            (tallies,) = (a for a in self.gates[n].handle(now, i.Survey()) if isinstance(a, i.Tallies))
+            (tallies,) = (a for a in self.gates[n].handle(now, i.Survey(self.paces)) if isinstance(a, i.Tallies))
             holder.demand(now, self.demands[n].survey(now, tallies.tallies))
-            if self.paces:
-                holder.saw(tallies.works)
+            holder.saw(tallies.works)
             for event in [*holder.moves(now), *holder.ended(now)]:
                 self.gates[n].handle(now, event)
                 self.moved = max(self.moved, *(share.borrowed for share in event.changes), 0.0)
@@ -101,6 +100,15 @@
         """A worker's capacity changes while it runs, unannounced."""
         self.fleet.places[name].load.capacity = capacity
 
+    def served(self, start: float, end: float) -> float:
+        """Run on to the end: the share of what has ended between two times that was served in its aim."""
+        self.clock.run(start)
+        before = self.ends
+        self.clock.run(end)
+        ends = self.ends
+        ends.subtract(before)
+        return ends["served"] / ends.total()
+
     @property
     def ends(self) -> Counter[str]:
         """How all requests so far have ended."""
--- a/tests/decisions/test_accounts.py
+++ b/tests/decisions/test_accounts.py
@@ -5,7 +5,7 @@
 import pytest
 
 from micagate import interface as i
-from micagate.accounts import SLOTS, Debts
+from micagate.debts import SLOTS, Debts
 from micagate.quotas import Quotas
 from rig.driver import Driver, sends
 
--- a/tests/planners/test_paces.py
+++ b/tests/planners/test_paces.py
@@ -32,16 +32,6 @@
                                  for n, speed in enumerate(SPEEDS)}, settings, planner, paces)
 
 
-def served(made, start, end):
-    """The share of what ended between two times that was served in its aim."""
-    made.clock.run(start)
-    before = made.ends
-    made.clock.run(end)
-    ends = made.ends
-    ends.subtract(before)
-    return ends["served"] / ends.total()
-
-
 def sent(made, name, start, end):
     return sum(where == name and start <= when < end for when, where, _ in made.sent)
 
@@ -56,7 +46,7 @@
     gains = []
     for seed in (2,):
         with_, without = cluster(seed, True), cluster(seed, False)
-        gains.append(served(with_, 4.0, 10.0) - served(without, 4.0, 10.0))
+        gains.append(with_.served(4.0, 10.0) - without.served(4.0, 10.0))
         told = [with_.ledger.workers(10.0)[worker_key(f"w{n}")]["pace"] for n in range(8)]
         assert statistics.mean(told[6:]) > 3 * statistics.mean(told[:2]), told
         assert paces_known(with_) > FORWARDERS / 2 and paces_known(without) == 0
@@ -101,7 +91,7 @@
     made.clock.run(6.0)
     assert paces_known(made) > FORWARDERS / 2
     made.ledger = None
-    assert served(made, 6.0 + TERMS.life + 0.3, 12.0) > 0.8
+    assert made.served(6.0 + TERMS.life + 0.3, 12.0) > 0.8
     assert paces_known(made) == 0
 
 
@@ -113,7 +103,7 @@
         made.clock.run(made.clock.now + 0.1)
     made.clock.run(made.clock.now + 6.0)  # it lies no more
     told = [made.ledger.workers(made.clock.now)[worker_key(f"w{n}")]["pace"] for n in (0, 7)]
-    assert all(map(math.isfinite, told)) and served(made, made.clock.now, made.clock.now + 4.0) > 0.7, told
+    assert all(map(math.isfinite, told)) and made.served(made.clock.now, made.clock.now + 4.0) > 0.7, told
 
 
 def test_planners_that_are_not_told_of_workers_change_no_choice():
--- a/tests/planners/test_peers.py
+++ b/tests/planners/test_peers.py
@@ -58,7 +58,7 @@
         self.seen.append(event)
         return ()
 
-    def survey(self):
+    def survey(self, works):
         return i.Tallies(())
 
 
