Let parts of quotas follow the whole store, as the meter tells of it

Every try was written down with what its gatekeeper knew and held against one store for each customer. Ruled out: the release (as much was refused before it began), control (never on), cold guard and choice (a worker was there for every try), latecomer guard. The parts of the quotas refused: customers near their quota come mostly through one gatekeeper, whose part empties by chance while the whole is full; two thirds of the refusals are repeated within 3 ms where they were refused; the slice steered the use to 0.9 although the store was full, and corrected the same excess again while the meter still told of it; one lost answer held the only place of an at-once part for a client's deadline.

Change: an account sums the meter's readings to the level of the whole store. Slices steer that level, from the slice that stood when the use was metered; a part may run ahead while the whole is full (bounded for all parts together, not under control, not before a reading, not where planners moved shares); marked repeats count no more as asked; a calm customer may have one more out than its part of the at-once cap, never more than the cap. rig/customers.py plays such customers against real Quotas; the benchmark shows what parts lose.

--- a/micagate/accounts.py
+++ b/micagate/accounts.py
@@ -15,8 +15,8 @@
     """One customer as this gateway knows it."""
 
     __slots__ = ("plan", "spread", "over", "span", "key", "first", "tally", "most", "depth", "floor", "slice",
-                 "store", "ceiling", "at", "tick", "asked", "forecast", "longer", "top", "use", "read",
-                 "readings", "fresh", "out")
+                 "stood", "store", "level", "ceiling", "at", "tick", "asked", "forecast", "longer", "top",
+                 "use", "read", "readings", "fresh", "out")
 
     def __init__(self, plan: i.Plan, key: str, spread: int, now: float, born: float) -> None:
         self.plan, self.key, self.spread = plan, key, spread
@@ -25,7 +25,8 @@
         self.span: float = spread
         self.first, self.tally, self.most = 0, 0.0, 0
         self.depth, self.floor = plan.burst / spread, plan.rate / spread
-        self.slice, self.store = self.floor, self.depth
+        self.slice = self.stood = self.floor  # now, and when the use was metered that is read now
+        self.store, self.level = self.depth, UNSEEN * plan.burst  # of this part; of all, as metered
         # An earlier life of this gateway may have spent its share of the ceiling: it fills from this birth.
         self.ceiling = min(plan.ceiling_depth, (now - born) * plan.ceiling_rate) / spread
         self.at = self.tick = now
@@ -36,8 +37,11 @@
     def metered(self, now: float, used: float, period: float) -> None:
         """A reading of the meter, averaged with those before where the meter's period is short.
 
-        Guards against coarse readings: one unit in a short period looks like many times the rate.
+        Guards against coarse readings: one unit in a short period looks like many times the rate. The level
+        of the whole store needs no average: it sums them.
         """
+        filled = (1 - used) * self.plan.rate * min(SMOOTH, now - self.read)
+        self.level = min(self.plan.burst, max(0.0, self.level + filled))
         smooth = max(1e-9, SMOOTH - period)
         self.readings += 1
         weight = max(1 - math.exp((self.read - now) / smooth), 1 / (1 + self.readings))
@@ -54,6 +58,7 @@
         """Begin with what would take so long to fill missing."""
         if seconds > 0:
             self.store = max(0.0, self.store - seconds * self.floor)
+            self.level = max(0.0, self.level - seconds * self.plan.rate)
             self.ceiling = max(0.0, self.ceiling - seconds * self.plan.ceiling_rate / self.spread)
 
     def room(self) -> float:
--- a/micagate/quotas.py
+++ b/micagate/quotas.py
@@ -2,18 +2,21 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Mapping
 
 from micagate import interface as i
 from micagate.accounts import Account, Table
 from micagate.debts import Debts
 from micagate.shares import Shares, customer_key
+from micagate.workload import asked_of
 
 DECAY = 0.7  # of the forecast, each second (ours)
 LONG_DECAY = 0.95  # of the longer forecast, for customers that come to this gateway seldom (ours)
 LEAST = 2.0  # requests that a part of the store should hold; thinner ones get credit (ours)
-AIMED = 0.9  # of the quota: what the slices steer the metered use to (ours)
+AIMED = 0.6  # of the quota: what slices steer the use to with the whole store empty; 1.6 when full (ours)
+LATE = 3.0  # seconds by which readings of the meter, smoothed, are late: a slice tells by then (ours)
+CALM = 0.6  # of the whole store: held as much, a customer may have one more out (ours)
+AHEAD, ALL_AHEAD = 0.3, 2.0  # of what the whole store holds: what a part, and all, may run ahead by (ours)
 IDLE = 30.0  # seconds after which an idle customer's entry may go (ours)
 
 
@@ -91,22 +94,30 @@
             a.longer = (a.longer * LONG_DECAY + a.asked * (1 - LONG_DECAY)) * LONG_DECAY ** (seconds - 1)
             a.asked = 0.0
             if a.fresh:  # without a reading the last slice stands
-                a.slice *= AIMED / max(a.use, 0.01)
+                # Guards against parts that stay small while the whole is full, and large while it is empty.
+                a.slice = a.stood * (AIMED + a.level / max(a.plan.burst, 1e-9)) / max(a.use, 0.01)
                 a.fresh = False
             expected = max(a.forecast, a.longer)
-            a.slice = max(a.floor, min(max(a.slice, a.room() * a.longer), 2 * expected, a.plan.rate))
+            a.slice = max(a.floor, min(a.slice, 2 * expected, a.plan.rate))
+            a.stood += (a.slice - a.stood) * min(1.0, seconds / LATE)
 
     def inside(self, a: Account, units: float, pressed: bool) -> bool:
         """Whether a try is inside this gateway's part of the quota.
 
         A request larger than a whole part of the store goes when that part is full, or it never would.
         """
-        if a.plan.at_once and a.out >= max(1, int(a.plan.at_once / a.over)):
+        known = a.readings and not pressed and a.over == a.spread  # what is lent elsewhere is no longer here
+        places = max(1, int(a.plan.at_once / a.over))
+        if known and a.plan.rate and a.level >= CALM * a.plan.burst:
+            places += 1  # else one lost answer shuts a customer out of a part of one place
+        if a.plan.at_once and a.out >= min(places, max(1, int(a.plan.at_once))):
             return False
         # Guards against starving: a part of less than a few requests refuses calm customers by chance. Harm:
         # a burst of one that the meter showed as calm goes over until the next readings.
         a.top = max(a.top, units)
         credit = 0.0 if pressed else a.room() * max(0.0, LEAST * a.top - a.depth)
+        if known:
+            credit = max(credit, min(AHEAD, ALL_AHEAD / a.spread) * (a.level - a.depth))
         return not a.plan.rate or a.store + credit >= min(units, a.depth + credit)
 
     def allowed(self, a: Account, units: float, beyond: bool) -> bool:
@@ -151,7 +162,7 @@
 
     def count(self, a: Account, request: i.Request) -> None:
         """Count what is asked, for the next survey."""
-        a.asked += request.units
+        a.asked += 0.0 if request.repeat else request.units  # a repeat asks for nothing more
         if self._surveyed is not None:
             a.first = request.first
             a.tally += request.units
@@ -160,18 +171,8 @@
 
     def survey(self) -> list[i.Tally]:
         """What was asked since the last survey."""
-        tallies = []
-        for a in (self._surveyed or {}).values():
-            rates = [rate for rate in (a.plan.rate, a.plan.ceiling_rate) if rate]
-            if rates or a.plan.at_once:  # what binds first says how much of the whole is needed
-                bursts = (a.plan.burst if a.plan.rate else math.inf,
-                          a.plan.ceiling_depth if a.plan.ceiling_rate else math.inf)
-                tallies.append(i.Tally(a.key, a.first, a.spread, a.tally, a.most, min(rates, default=0.0),
-                                       min(bursts) if rates else 0.0, a.plan.at_once))
-        for a in (self._surveyed or {}).values():
-            a.tally, a.most = 0.0, 0
-        self._surveyed = {}
-        return tallies
+        surveyed, self._surveyed = self._surveyed or {}, {}
+        return asked_of(surveyed.values())
 
     def take(self, a: Account, units: float, inside: bool) -> None:
         """Take a first attempt's units; they stay taken even where it proves void, which is rare."""
--- a/micagate/workload.py
+++ b/micagate/workload.py
@@ -1,11 +1,12 @@
-"""What became of attempts at each worker, counted for planners between two surveys. Decides nothing."""
+"""What customers asked and what became of attempts at each worker, counted for planners. Decides nothing."""
 
 from __future__ import annotations
 
 import math
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 from micagate import interface as i
+from micagate.accounts import Account
 from micagate.shares import worker_key
 
 KINDS = {i.FULL: "refused", i.TIMED_OUT: "missed"}  # all else that is no answer, and was not called off: failed
@@ -72,3 +73,17 @@
                     made.append(work)
             self._counts[worker] = _Counts(now)
         return made
+
+
+def asked_of(accounts: Iterable[Account]) -> list[i.Tally]:
+    """What was asked of customers' quotas since the last survey, and begin anew."""
+    tallies = []
+    for a in accounts:
+        rates = [rate for rate in (a.plan.rate, a.plan.ceiling_rate) if rate]
+        if rates or a.plan.at_once:  # what binds first says how much of the whole is needed
+            bursts = (a.plan.burst if a.plan.rate else math.inf,
+                      a.plan.ceiling_depth if a.plan.ceiling_rate else math.inf)
+            tallies.append(i.Tally(a.key, a.first, a.spread, a.tally, a.most, min(rates, default=0.0),
+                                   min(bursts) if rates else 0.0, a.plan.at_once))
+        a.tally, a.most = 0.0, 0
+    return tallies
--- /dev/null
+++ b/rig/customers.py
@@ -0,0 +1,191 @@
+"""Customers over gatekeepers that hold parts of their quotas: what is lost because the parts are parts.
+
+Plays first tries and clients' repeats against real `Quotas`, one for each gatekeeper, with a meter that tells
+late, and holds what they let in against one store that sees all. Workers are no matter here: each attempt is
+answered, unless `lost` of them, which stay out until the client's deadline. Times in seconds, units of one.
+
+    python -m rig.customers [--gateways N] [--seeds N]
+"""
+
+from __future__ import annotations
+
+import argparse
+import heapq
+import math
+from collections import defaultdict
+from dataclasses import dataclass, field
+from random import Random
+
+from micagate import interface as i
+from micagate.accounts import Account
+from micagate.quotas import Quotas
+
+KINDS = {"calm": 0.52, "full": 0.20, "heavy": 0.10, "spiky": 0.18}  # shares of the customers
+PLANS = (
+    i.Plan("small", rate=1.7, burst=7.0, excess_cost=0.8),
+    i.Plan("middle", rate=4.1, burst=14.0, at_once=2.0, excess_cost=1.2),
+    i.Plan("large", rate=10.0, burst=18.0, ceiling_rate=25.0, ceiling_depth=41.0, ceiling_slack=4.0,
+           excess_cost=0.8),
+)
+OF_PLAN = (0,) * 12 + (1,) * 5 + (2,)  # of eighteen customers in a row
+AIM, DEADLINE, TRIES = 0.33, 1.76, 3
+
+
+@dataclass(frozen=True)
+class Day:
+    """What a day is like."""
+
+    gateways: int = 4
+    customers: int = 90
+    seconds: float = 22.0
+    skew: float = 1.0  # of a customer's weights on its gatekeepers: 0 is even
+    moves: float = 12.0  # between changes of those weights
+    patient: float = 0.3  # share of the refusals whose advice is followed; the others repeat at once
+    elsewhere: float = 0.03  # share of the repeats that go to another gatekeeper of the set
+    late: float = 0.8  # from the end of the meter's period to its first reading
+    period: float = 0.5  # of the meter
+    lost: float = 0.0  # share of the attempts whose answers never come
+
+
+@dataclass
+class Customer:
+    """One customer, with the store that sees all its tries and the meter's counts by period."""
+
+    name: str
+    kind: str
+    plan: i.Plan
+    first: int
+    weights: list[tuple[float, list[float]]]  # from when on
+    store: float
+    at: float = 0.0
+    out: int = 0
+    counted: dict[int, int] = field(default_factory=lambda: defaultdict(int))
+
+    def gateway(self, now: float, random: Random, gateways: int) -> int:
+        """Where a try goes."""
+        weights = next(w for since, w in reversed(self.weights) if since <= now)
+        return (self.first + random.choices(range(len(weights)), weights)[0]) % gateways
+
+    def has_room(self, now: float) -> bool:
+        """Whether the whole quota has room for one more now."""
+        self.store = min(self.plan.burst, self.store + (now - self.at) * self.plan.rate)
+        self.at = now
+        return self.store >= 1 and (not self.plan.at_once or self.out < self.plan.at_once)
+
+
+@dataclass
+class Kind:
+    """What became of one kind's tries, in requests."""
+
+    offered: int = 0  # first tries that one store that sees them all lets in
+    served: int = 0  # inside the whole quota, within the aim
+    over: int = 0  # let in beyond the whole quota
+    tries: int = 0
+    refused_with_room: int = 0  # with half of the whole store or more unused
+
+
+def arrivals(random: Random, day: Day, kind: str, rate: float) -> list[float]:
+    """The times of a customer's first tries: steady, or with spikes."""
+    low, high = {"calm": (0.16, 0.36), "full": (0.8, 1.0), "heavy": (1.9, 4.3), "spiky": (0.16, 0.36)}[kind]
+    usual, spikes, at = random.uniform(low, high), [], random.uniform(0.0, 18.0)
+    while kind == "spiky" and at < day.seconds:
+        end = at + random.uniform(0.6, 3.6)
+        spikes.append((at, end, random.uniform(2.6, 7.3)))
+        at = end + random.uniform(11.0, 25.0)
+    times, now = [], 0.0
+    while now < day.seconds:
+        times_usual = next((x for a, b, x in spikes if a <= now < b), usual)
+        change = min((t for a, b, _ in spikes for t in (a, b) if t > now), default=math.inf)
+        step = random.expovariate(times_usual * rate)
+        now = min(now + step, change)
+        if now < change and now < day.seconds:
+            times.append(now)
+    return times
+
+
+def play(day: Day, seed: int) -> dict[str, Kind]:
+    """Play a day; what became of the tries, by kind of customer."""
+    random = Random(seed)
+    parts = [Quotas(-60.0) for _ in range(day.gateways)]
+    customers, told = [], {kind: Kind() for kind in KINDS}
+    queue: list[tuple[float, int, Customer, float, int, int, Account | None, bool]] = []
+    for number in range(day.customers):
+        plan, sort = PLANS[OF_PLAN[number % 18]], random.choices(list(KINDS), list(KINDS.values()))[0]
+        spread = random.randint(max(1, day.gateways // 2), day.gateways)
+        even = [(rank + 1) ** -day.skew for rank in range(spread)]
+        weights, since = [(0.0, random.sample(even, spread))], random.uniform(0.0, day.moves)
+        while since < day.seconds:
+            weights.append((since, random.sample(even, spread)))
+            since += random.uniform(0.6, 1.4) * day.moves
+        who = Customer(f"c{number}", sort, plan, random.randrange(day.gateways), weights, plan.burst)
+        customers.append(who)
+        store, at = plan.burst, 0.0
+        for now in arrivals(random, day, sort, plan.rate):
+            store, at = min(plan.burst, store + (now - at) * plan.rate), now
+            if store >= 1:
+                store -= 1
+                told[sort].offered += 1
+            queue.append((now, len(queue), who, now, 0, who.gateway(now, random, day.gateways), None, False))
+    heapq.heapify(queue)
+    made = len(queue)
+    while queue:
+        now, _, who, begun, attempt, at_gateway, account, inside = heapq.heappop(queue)
+        kind, part, made = told[who.kind], parts[at_gateway], made + 1
+        spread = len(who.weights[0][1])
+        if account is not None:  # an answer, or the end of waiting for one
+            who.out -= 1
+            account.out -= 1
+            if attempt < 0:
+                continue
+            period = int((now - day.late) / day.period) - 1
+            if period >= 0:
+                account.metered(now, who.counted[period] / day.period / who.plan.rate, day.period)
+            kind.served += inside and now - begun <= AIM
+            continue
+        kind.tries += 1
+        account = part.account(now, who.name, who.plan, spread)
+        part.count(account, i.Request("r", "k", who.plan.name, who.name, 1.0, 1.0, spread, attempt > 0))
+        room, lets = who.has_room(now), part.inside(account, 1.0, False) and part.allowed(account, 1.0, False)
+        if lets:
+            part.take(account, 1.0, True)
+            account.out += 1
+            who.out += 1
+            who.counted[int(now / day.period)] += 1
+            who.store -= room
+            kind.over += not room
+            gone = random.random() < day.lost
+            took = DEADLINE if gone else random.uniform(0.02, 0.06)
+            heapq.heappush(queue, (now + took, made, who, begun, -1 if gone else attempt, at_gateway, account, room))
+        else:
+            kind.refused_with_room += room and who.store >= who.plan.burst / 2
+            wait = 0.2 * AIM * random.uniform(0.5, 1.0) if random.random() < day.patient else 0.0
+            if attempt + 1 < TRIES and now + wait - begun < DEADLINE:
+                if random.random() < day.elsewhere:
+                    at_gateway = who.gateway(now, random, day.gateways)
+                heapq.heappush(queue, (now + wait + 0.002, made, who, begun, attempt + 1, at_gateway, None, False))
+    return told
+
+
+def total(days: list[dict[str, Kind]], *kinds: str) -> dict[str, float]:
+    """Served and over as shares of what was offered, and refused with room as a share of the tries."""
+    all_of = [told[kind] for told in days for kind in kinds or KINDS]
+    offered = max(1, sum(k.offered for k in all_of))
+    return {"served": sum(k.served for k in all_of) / offered, "over": sum(k.over for k in all_of) / offered,
+            "refused_with_room": sum(k.refused_with_room for k in all_of) / max(1, sum(k.tries for k in all_of))}
+
+
+def main() -> None:
+    """Print what parts lose, by kind of customer."""
+    parser = argparse.ArgumentParser(prog="python -m rig.customers", description=main.__doc__)
+    parser.add_argument("--gateways", type=int, default=4, help="gatekeepers (default %(default)s)")
+    parser.add_argument("--seeds", type=int, default=8, help="days played (default %(default)s)")
+    options = parser.parse_args()
+    day = Day(gateways=options.gateways, customers=max(90, 18 * options.gateways))
+    days = [play(day, seed) for seed in range(options.seeds)]
+    for kinds in (*((kind,) for kind in KINDS), ()):
+        figures = "  ".join(f"{name} {value:.3f}" for name, value in total(days, *kinds).items())
+        print(f"{', '.join(kinds) or 'all':6} {figures}")
+
+
+if __name__ == "__main__":
+    main()
--- a/rig/driver.py
+++ b/rig/driver.py
@@ -55,11 +55,12 @@
         return [action for action in actions if not isinstance(action, i.SetTimer)]
 
     def ask(self, klass: str = "read", plan: str = "free", customer: str = "c", units: float = 1.0,
-            spread: int = 3, time_left: float = 4.0, after: float = 0.0) -> tuple[str, list[i.Action]]:
+            spread: int = 3, time_left: float = 4.0, after: float = 0.0, repeat: bool = False
+            ) -> tuple[str, list[i.Action]]:
         """A new request: its id and what came of it."""
         self.made += 1
         name = f"r{self.made}"
-        request = i.Request(name, klass, plan, customer, time_left, units, spread)
+        request = i.Request(name, klass, plan, customer, time_left, units, spread, repeat)
         return name, self.give(request, after)
 
     def answer(self, name: str, worker: str, status: str = i.SUCCESS, *, attempt: int | None = None,
