--- a/benchmarks/routing.py
+++ b/benchmarks/routing.py
@@ -15,13 +15,13 @@
 import sys
 import time
 from dataclasses import replace
-from pathlib import Path
 
 from benchmarks.planners import spread
 from micagate import Gateway
 from micagate import interface as i
 from rig.choices import Field, served
-from rig.customers import Day, play, total
+from rig.customers import play, total, wide
+from rig.memory import resident
 
 CLASSES = (i.RequestClass("fetch", aim=0.4, deadline=1.0),)
 PLANS = (i.Plan("capped", rate=10.0, burst=20.0, ceiling_rate=20.0, ceiling_depth=40.0),)
@@ -48,11 +48,6 @@
     return 1e6 * spent / requests
 
 
-def resident() -> float:
-    """Megabytes of memory that this process has."""
-    return int(Path("/proc/self/statm").read_text().split()[1]) * 4096 / 1e6
-
-
 def customers(count: int) -> dict[str, float]:
     """A million customers once each, at 16,000 a second, and then all idle: memory and single steps.
 
@@ -66,7 +61,7 @@
     begun = resident()
     for n in range(count):
         gate.quotas.account(n / 16_000, f"{n:016x}", PLANS[0], 1)
-    memory = resident() - begun
+    memory = (resident() - begun) / 1e6
     longest = 0.0
     now = count / 16_000
     for n in range(count // 4):
@@ -101,8 +96,7 @@
     print(f"customers: {json.dumps(seen)}", flush=True)
     parts = {}
     for gateways in (4, 10):
-        day = Day(gateways=gateways, customers=max(90, 18 * gateways))
-        days = [total([play(day, seed)]) for seed in range(1 if short else 12)]
+        days = [total([play(wide(gateways), seed)]) for seed in range(1 if short else 12)]
         parts[str(gateways)] = {name: spread([told[name] for told in days]) for name in days[0]}
         print(f"parts of quotas, {gateways} gatekeepers: {json.dumps(parts[str(gateways)])}", flush=True)
     field = Field(seconds=1.0, warm_up=4.0) if short else Field(seconds=10.0, warm_up=10.0)
--- a/micagate/fleet.py
+++ b/micagate/fleet.py
@@ -56,8 +56,8 @@
         """Follow the list; a drained or gone worker gets nothing from here on, a restarted one is new."""
         if news.whole:
             named = {entry.worker for entry in news.entries}
-            for name in [name for name in self.workers if name not in named]:
-                self._leave(name)
+            for worker in [worker for name, worker in self.workers.items() if name not in named]:
+                self._leave(worker)
         sizes = [e.size for e in news.entries if e.size > 0] or [1.0]
         mean = sum(sizes) / len(sizes)
         for entry in news.entries:
@@ -72,7 +72,7 @@
                 self.workers[entry.worker] = known = fresh
             known.entry = entry
             if entry.state != i.HEALTHY:
-                self._leave(entry.worker)
+                self._leave(known)
             elif not known.usable:
                 known.usable = True
                 self._ring.insert(sum(w.rank < known.rank for w in self._ring), known)
@@ -85,11 +85,11 @@
             worker.usable = False
             self._ring.remove(worker)
 
-    def _leave(self, name: str) -> None:
+    def _leave(self, worker: Worker) -> None:
         """Give a worker no more; forget it if nothing is out there."""
-        self._unlist(self.workers[name])
-        if not self.workers[name].out:
-            del self.workers[name]
+        self._unlist(worker)
+        if not worker.out:
+            del self.workers[worker.entry.worker]
 
     def usual(self, klass: i.RequestClass) -> float:
         """The usual answer time of a class; its aim's tenth until something is known."""
@@ -417,8 +417,8 @@
         sent = worker.out.pop(key, None) if worker is not None else None
         if worker is None or sent is None:
             return
-        if not worker.usable and not worker.out:
-            del self.workers[name]
+        if not worker.usable:
+            self._leave(worker)
         if self._workload is not None:
             self._workload.ended(now, name, len(worker.out) + 1, klass.name, self.usual(klass), status, took)
         if status in (i.TIMED_OUT, i.FULL, i.UNREACHABLE):
--- a/rig/capacity.py
+++ b/rig/capacity.py
@@ -48,10 +48,14 @@
             self._starts.popleft()
         return len(self._starts)
 
+    def free(self, now: float) -> float:
+        """When the next core is free."""
+        return max(now, self._free[0])
+
     def arrive(self, now: float, work: float) -> float | None:
         """A request that would take `work` seconds of an idle warm core: when it is done, or None if full."""
         waiting = self.waiting(now)
-        start = max(now, self._free[0])
+        start = self.free(now)
         if start > now and waiting >= self.capacity.queue:
             self.turned_away += 1
             return None
--- a/rig/choices.py
+++ b/rig/choices.py
@@ -65,7 +65,7 @@
     """The worker that would be done first, by its true queue and speed."""
     def done(name: str) -> float:
         load = c.fleet.places[name].load
-        return max(now, load._free[0]) + MEAN / (load.capacity.speed * load.warmth(now))
+        return load.free(now) + MEAN / (load.capacity.speed * load.warmth(now))
     return min(c.names, key=done)
 
 
--- a/rig/customers.py
+++ b/rig/customers.py
@@ -19,6 +19,7 @@
 from micagate import interface as i
 from micagate.accounts import Account
 from micagate.quotas import Quotas
+from rig.traffic import PlanShape, Store
 
 KINDS = {"calm": 0.52, "full": 0.20, "heavy": 0.10, "spiky": 0.18}  # shares of the customers
 PLANS = (
@@ -47,6 +48,11 @@
     lost: float = 0.0  # share of the attempts whose answers never come
 
 
+def wide(gateways: int) -> Day:
+    """A day of so many gatekeepers, with customers for them."""
+    return Day(gateways=gateways, customers=max(90, 18 * gateways))
+
+
 @dataclass
 class Customer:
     """One customer, with the store that sees all its tries and the meter's counts by period."""
@@ -56,8 +62,7 @@
     plan: i.Plan
     first: int
     weights: list[tuple[float, list[float]]]  # from when on
-    store: float
-    at: float = 0.0
+    store: Store
     out: int = 0
     counted: dict[int, int] = field(default_factory=lambda: defaultdict(int))
 
@@ -68,9 +73,7 @@
 
     def has_room(self, now: float) -> bool:
         """Whether the whole quota has room for one more now."""
-        self.store = min(self.plan.burst, self.store + (now - self.at) * self.plan.rate)
-        self.at = now
-        return self.store >= 1 and (not self.plan.at_once or self.out < self.plan.at_once)
+        return self.store.fill(now) >= 1 and (not self.plan.at_once or self.out < self.plan.at_once)
 
 
 @dataclass
@@ -84,6 +87,11 @@
     refused_with_room: int = 0  # with half of the whole store or more unused
 
 
+def whole(plan: i.Plan) -> Store:
+    """A full store of the whole quota."""
+    return Store(PlanShape(plan.rate, plan.burst), 0.0)
+
+
 def arrivals(random: Random, day: Day, kind: str, rate: float) -> list[float]:
     """The times of a customer's first tries: steady, or with spikes."""
     low, high = {"calm": (0.16, 0.36), "full": (0.8, 1.0), "heavy": (1.9, 4.3), "spiky": (0.16, 0.36)}[kind]
@@ -117,14 +125,11 @@
         while since < day.seconds:
             weights.append((since, random.sample(even, spread)))
             since += random.uniform(0.6, 1.4) * day.moves
-        who = Customer(f"c{number}", sort, plan, random.randrange(day.gateways), weights, plan.burst)
+        who = Customer(f"c{number}", sort, plan, random.randrange(day.gateways), weights, whole(plan))
         customers.append(who)
-        store, at = plan.burst, 0.0
+        ideal = whole(plan)
         for now in arrivals(random, day, sort, plan.rate):
-            store, at = min(plan.burst, store + (now - at) * plan.rate), now
-            if store >= 1:
-                store -= 1
-                told[sort].offered += 1
+            told[sort].offered += ideal.take(now, 1.0)
             queue.append((now, len(queue), who, now, 0, who.gateway(now, random, day.gateways), None, False))
     heapq.heapify(queue)
     made = len(queue)
@@ -151,13 +156,14 @@
             account.out += 1
             who.out += 1
             who.counted[int(now / day.period)] += 1
-            who.store -= room
+            if room:
+                who.store.take(now, 1.0)
             kind.over += not room
             gone = random.random() < day.lost
             took = DEADLINE if gone else random.uniform(0.02, 0.06)
             heapq.heappush(queue, (now + took, made, who, begun, -1 if gone else attempt, at_gateway, account, room))
         else:
-            kind.refused_with_room += room and who.store >= who.plan.burst / 2
+            kind.refused_with_room += room and who.store.level >= who.plan.burst / 2
             wait = 0.2 * AIM * random.uniform(0.5, 1.0) if random.random() < day.patient else 0.0
             if attempt + 1 < TRIES and now + wait - begun < DEADLINE:
                 if random.random() < day.elsewhere:
@@ -180,8 +186,7 @@
     parser.add_argument("--gateways", type=int, default=4, help="gatekeepers (default %(default)s)")
     parser.add_argument("--seeds", type=int, default=8, help="days played (default %(default)s)")
     options = parser.parse_args()
-    day = Day(gateways=options.gateways, customers=max(90, 18 * options.gateways))
-    days = [play(day, seed) for seed in range(options.seeds)]
+    days = [play(wide(options.gateways), seed) for seed in range(options.seeds)]
     for kinds in (*((kind,) for kind in KINDS), ()):
         figures = "  ".join(f"{name} {value:.3f}" for name, value in total(days, *kinds).items())
         print(f"{', '.join(kinds) or 'all':6} {figures}")
--- a/rig/scripted.py
+++ b/rig/scripted.py
@@ -18,7 +18,7 @@
 import tempfile
 from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
 from pathlib import Path
-from typing import Any
+from typing import Any, Self
 
 LIMIT = 20.0
 FILES = tempfile.TemporaryDirectory()  # configurations, removed at the end of the tests
@@ -94,18 +94,13 @@
     writer.close()
 
 
-class Worker:
-    """A scripted worker: its script handles each request; what came is kept."""
+class Listener:
+    """What listens on a port of its own, the same one when it starts again."""
 
-    def __init__(self, name: str, script: Script | None = None) -> None:
-        self.name, self.script = name, script or answer()
-        self.seen: list[Message] = []
-        self.over: list[int] = []  # the connection that each request came over
-        self.connections = self.closed = 0
-        self._server: asyncio.Server | None = None
-        self.port = 0
+    port = 0
+    _server: asyncio.Server | None = None
 
-    async def start(self) -> Worker:
+    async def start(self) -> Self:
         """Listen."""
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
         self.port = self._server.sockets[0].getsockname()[1]
@@ -116,6 +111,19 @@
         assert self._server is not None
         self._server.close()
 
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        raise NotImplementedError
+
+
+class Worker(Listener):
+    """A scripted worker: its script handles each request; what came is kept."""
+
+    def __init__(self, name: str, script: Script | None = None) -> None:
+        self.name, self.script = name, script or answer()
+        self.seen: list[Message] = []
+        self.over: list[int] = []  # the connection that each request came over
+        self.connections = self.closed = 0
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connections += 1
         number = self.connections
@@ -133,29 +141,21 @@
                 "status": "up", "weight": 1.0, "since_ms": 0, **changes}
 
 
-class Discovery:
+class Discovery(Listener):
     """A scripted discovery: a list, and watches that hear of its changes."""
 
     def __init__(self, entries: list[Any]) -> None:
-        self.entries, self.index, self.port = entries, 1, 0
+        self.entries, self.index = entries, 1
         self.asked: list[str] = []
         self.silent = False
         self.raw: bytes | None = None  # answered in place of the list
         self._changed = asyncio.Event()
         self._delta: list[Any] = []
         self._ends: list[tuple[asyncio.StreamReader, asyncio.StreamWriter]] = []
-        self._server: asyncio.Server | None = None
-
-    async def start(self) -> Discovery:
-        """Listen."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
-        self.port = self._server.sockets[0].getsockname()[1]
-        return self
 
     def stop(self) -> None:
         """Die."""
-        assert self._server is not None
-        self._server.close()
+        super().stop()
         for _, writer in self._ends:
             writer.transport.abort()
 
--- a/rig/subsets.py
+++ b/rig/subsets.py
@@ -21,11 +21,17 @@
 CLASSES, PLANS = (i.RequestClass("fetch", aim=0.4, deadline=1.0),), (i.Plan("free"),)
 
 
+def fleet(names: Sequence[str], gateway: int, gateways: int, numbered: bool = True) -> Fleet:
+    """One of the gateways as it sees its workers; not numbered, it does not know its number."""
+    settings = i.Settings(CLASSES, PLANS, gateways=gateways, number=gateway if numbered else None)
+    made = Fleet(settings, Random(gateway), 0.0, Shares())
+    made.update(0.0, i.WorkerList(tuple(map(i.WorkerEntry, names)), whole=True))
+    return made
+
+
 def module(names: Sequence[str], gateway: int, gateways: int, size: int) -> list[str]:
     """The arc of a numbered gateway."""
-    made = Fleet(i.Settings(CLASSES, PLANS, gateways=gateways, number=gateway), Random(gateway), 0.0, Shares())
-    made.update(0.0, i.WorkerList(tuple(i.WorkerEntry(name) for name in names), whole=True))
-    return [worker.entry.worker for worker in made.arc(size)]
+    return [worker.entry.worker for worker in fleet(names, gateway, gateways).arc(size)]
 
 
 def by_chance(names: Sequence[str], gateway: int, gateways: int, size: int) -> list[str]:
--- a/rig/traffic.py
+++ b/rig/traffic.py
@@ -43,13 +43,17 @@
     def __init__(self, plan: PlanShape, now: float) -> None:
         self.plan, self.level, self.at = plan, plan.burst, now
 
+    def fill(self, now: float) -> float:
+        """Bring the level up to now."""
+        self.level = min(self.plan.burst, self.level + (now - self.at) * self.plan.rate)
+        self.at = now
+        return self.level
+
     def take(self, now: float, units: float) -> bool:
         """Take the units if they are there."""
         if not self.plan.rate:
             return True
-        self.level = min(self.plan.burst, self.level + (now - self.at) * self.plan.rate)
-        self.at = now
-        if self.level < units:
+        if self.fill(now) < units:
             return False
         self.level -= units
         return True
--- a/tests/decisions/test_subsets.py
+++ b/tests/decisions/test_subsets.py
@@ -7,20 +7,17 @@
 
 from micagate import interface as i
 from micagate.fleet import Fleet
-from micagate.shares import Shares
-from rig.subsets import churn, imbalance, measure
+from rig.subsets import CLASSES, churn, fleet, imbalance, measure
 
-READ = i.RequestClass("read", aim=0.4, deadline=1.0)
+READ = CLASSES[0]
 
 
 def fleets(workers: int, gateways: int, numbered: bool = True) -> list[Fleet]:
     made = []
     for number in range(gateways):
-        settings = i.Settings((READ,), (i.Plan("free"),), gateways=gateways, number=number if numbered else None)
-        made.append(Fleet(settings, Random(number), 0.0, Shares()))
         names = [f"w{n}" for n in range(workers)]
         Random(number).shuffle(names)  # lists come in any order
-        made[-1].update(0.0, i.WorkerList(tuple(map(i.WorkerEntry, names)), whole=True))
+        made.append(fleet(names, number, gateways, numbered))
     return made
 
 
--- a/tests/front/test_clients.py
+++ b/tests/front/test_clients.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from rig.memory import resident
 from rig.scripted import Client, Worker, answer, hang, run, scene, until
 
 CHUNKED = Client.request("write").replace(b"Content-Length: 0\r\n", b"Transfer-Encoding: chunked\r\n")
@@ -137,8 +138,7 @@
             client.send(one * 1500)  # far more than socket buffers hold: the rest stays with the client
             await until(lambda: worker.seen)
             await asyncio.sleep(0.5)  # time to read it all, were it read
-            with open(f"/proc/{gatekeeper.process.pid}/statm") as file:
-                assert int(file.read().split()[1]) * 4096 < 60_000_000
+            assert resident(gatekeeper.process.pid) < 60_000_000
             client.writer.transport.abort()
             assert await gatekeeper.health() == 200
     run(scenario())
@@ -254,15 +254,6 @@
     run(scenario())
 
 
-PAGE = 4096
-
-
-def memory(gatekeeper):
-    """What it holds, in bytes."""
-    with open(f"/proc/{gatekeeper.process.pid}/statm") as file:
-        return int(file.read().split()[1]) * PAGE
-
-
 UNENDED = {
     "nothing": [b""], "empty lines": [b"\r\n"] * 50,
     "half a request": [Client.request("write", body=b"whole")[:-1]],
@@ -293,13 +284,13 @@
 def test_what_has_no_end_is_cut_off_and_neither_kept_nor_all_read(start):
     async def scenario():
         async with scene(Worker("w")) as (gatekeeper, _, client):
-            before = memory(gatekeeper)
+            before = resident(gatekeeper.process.pid)
             clients = [client] + [await gatekeeper.client() for _ in range(5)]
             for one in clients:
                 one.send(start + (b"\r\n" if start == b"\r\n" else b"xx") * 10_000_000)
             heard = [await one.receive() for one in clients]
             assert all(reply is None or reply.status in (413, 431) for reply in heard)
-            assert memory(gatekeeper) - before < 10_000_000
+            assert resident(gatekeeper.process.pid) - before < 10_000_000
             assert await gatekeeper.health() == 200
     run(scenario())
 
--- a/tests/gatekeeper/test_memory.py
+++ b/tests/gatekeeper/test_memory.py
@@ -12,6 +12,7 @@
 from oliveloft.discovery.watch import Link
 from oliveloft.front.http import SLOW, Client
 from rig.driver import Driver, sends
+from rig.memory import resident
 from rig.scripted import Client as Peer
 from rig.scripted import Worker, run, scene, until
 
@@ -115,8 +116,7 @@
                         gone, worker.name = worker.name, f"w{part}-{n}"
                         discovery.change({"name": gone, "status": "removed"}, worker.entry())
                         await discovery.watched()
-                with open(f"/proc/{gatekeeper.process.pid}/statm") as file:
-                    sizes.append(int(file.read().split()[1]) * 4096)
+                sizes.append(resident(gatekeeper.process.pid))
             assert sizes[2] - sizes[1] < 1_500_000, sizes
             await until(lambda: worker.connections - worker.closed <= 1)
             assert Peer.made >= 1200
--- a/tests/gatekeeper/test_process.py
+++ b/tests/gatekeeper/test_process.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from rig.memory import resident
 from rig.scripted import Client, Discovery, Worker, answer, config, hang, launch, run, scene, until
 
 
@@ -203,8 +204,7 @@
             for _ in range(3):
                 for _ in range(300):
                     assert (await client.ask("write", body=b"x" * 20_000)).status == 200
-                with open(f"/proc/{gatekeeper.process.pid}/statm") as file:
-                    sizes.append(int(file.read().split()[1]) * 4096)
+                sizes.append(resident(gatekeeper.process.pid))
             assert sizes[2] - sizes[1] < 3_000_000 and sizes[2] < 100_000_000
             assert worker.connections == 1
     run(scenario())
