Let parts of quotas decide first, and the estimate only where it is sure enough

So a part's own store decides as the design has it, and a part runs ahead only where the whole store is surely enough full for what the plan says it costs to be wrong; the meter's lateness is believed after six readings.

--- a/micagate/quotas.py
+++ b/micagate/quotas.py
@@ -110,34 +110,34 @@
             a.stood += (a.slice - a.stood) * min(1.0, seconds / LATE)
 
     def inside(self, a: Account, units: float, pressed: bool) -> bool:
-        """Whether a try is surely enough inside the whole quota, or else inside this gateway's part of it.
+        """Whether a try is inside this gateway's part of the quota, or else surely enough inside the whole.
 
         Sure enough: what it is worth if it is inside, less what a refusal would save of that by the client's
-        next try, outweighs what it costs if it is not. Where nothing is known of the whole, and while the
-        back end is pressed, parts decide: what is beyond the quota would take the place of what is inside. A
-        request larger than a whole part goes when that part is full, or it never would.
+        next try, outweighs what it costs if it is not. Not while the back end is pressed: what is beyond the
+        quota would take the place of what is inside. A request larger than a whole part goes when that part
+        is full, or it never would.
         """
-        whole, cost = a.whole, a.plan.excess_cost - a.plan.beyond_earns
-        sure = cost / (cost + 1 - RETURNS) if cost > 0 else 0.0
+        whole, cost = a.whole, max(0.0, a.plan.excess_cost - a.plan.beyond_earns)
+        sure = cost / (cost + 1 - RETURNS)
         told = whole.told is not None and a.at - whole.told < STALE
         known = told and a.over == a.spread and not pressed
         if a.plan.at_once:
             if a.out >= max(1, int(a.plan.at_once)):
                 return False
-            if not known and a.out >= max(1, int(a.plan.at_once / a.over)):
-                return False
-            if known and whole.places(a.out, a.took, int(a.plan.at_once)) < sure:
+            if a.out >= max(1, int(a.plan.at_once / a.over)) and (
+                    not known or whole.places(a.out, a.took, int(a.plan.at_once)) < sure):
                 return False
         if not a.plan.rate:
             return True
-        if known:  # never further ahead of what the slices gave than the rest of the whole store
-            spare = min(whole.spare(a.at, DOUBTS[int(sure * 20)]), a.store + a.plan.burst - a.depth)
-            return spare >= units or a.store >= a.depth  # an even part is always its own
         # Guards against starving: a part of less than a few requests refuses calm customers by chance. Harm:
         # a burst of one that the meter showed as calm goes over until the next readings.
         a.top = max(a.top, units)
         credit = 0.0 if pressed else a.room() * max(0.0, LEAST * a.top - a.depth)
-        return a.store + credit >= min(units, a.depth + credit)
+        if a.store + credit >= min(units, a.depth + credit):
+            return True
+        # Never further ahead of what the slices gave than the rest of the whole store.
+        ahead = a.store + a.plan.burst - a.depth
+        return known and min(whole.spare(a.at, DOUBTS[int(sure * 20)]), ahead) >= units
 
     def allowed(self, a: Account, units: float, beyond: bool) -> bool:
         """Whether the ceiling has room; what goes beyond the quota leaves half of it to what is inside."""
