--- a/benchmarks/deployments.py
+++ b/benchmarks/deployments.py
@@ -14,9 +14,9 @@
 import statistics
 import sys
 import time
-from collections.abc import Sequence
 from dataclasses import replace
 
+from benchmarks.planners import spread
 from micagate import interface as i
 from rig.customers import Day, play, total, wide
 
@@ -37,11 +37,6 @@
     return told["served"], told["over"]
 
 
-def spread(values: Sequence[float]) -> str:
-    """Median, least and most."""
-    return f"{statistics.median(values):.3f} ({min(values):.3f} to {max(values):.3f})"
-
-
 def main() -> int:
     """Play both kinds; the exit status is 0 where all that is asked of them holds."""
     parser = argparse.ArgumentParser(prog="python -m benchmarks.deployments", description=main.__doc__)
@@ -59,7 +54,7 @@
               f"gain {spread(gains)}, {time.monotonic() - began:.0f} s", flush=True)
         served = statistics.median(w for w, _ in whole)
         figures[f"served_{kind}"] = round(served, 4)
-        figures[f"served_{kind}_spread"] = [round(min(w for w, _ in whole), 4), round(max(w for w, _ in whole), 4)]
+        figures[f"served_{kind}_spread"] = spread([w for w, _ in whole])
         figures[f"over_{kind}"] = round(statistics.median(o for _, o in whole), 4)
         figures[f"parts_{kind}"] = round(statistics.median(w for w, _ in parts), 4)
         figures[f"parts_over_{kind}"] = round(statistics.median(o for _, o in parts), 4)
--- a/micagate/estimates/metering.py
+++ b/micagate/estimates/metering.py
@@ -14,6 +14,7 @@
 import math
 from bisect import bisect_right
 from collections.abc import Iterator, Sequence
+from statistics import NormalDist
 
 BINS = 32  # moments of a period that are told apart
 GUESSES = 32  # latenesses that are weighed against each other
@@ -24,14 +25,17 @@
 FIRM = 6  # readings that had something of the own sends in them, before a lateness is believed
 FRESH, PAST = 1.0, 0.5  # seconds of own sends that tell of a customer's rate now, and what the past weighs
 STEADY, USUAL = 3.0, 20.0  # seconds over which its rate, and its usual rate, are averaged
-UNKNOWN, FIRST = 0.5, 2.0  # of the quota: the use taken for granted before the first reading, for so many seconds
+UNSEEN, FIRST = 0.5, 2.0  # of the quota: the use taken for granted before any reading, for so many seconds
 REMEMBER = 8.0  # seconds of metered periods over which a gateway's share is averaged
 CROWD = 0.4  # attempts' times that the past weighs in how many are out now
 EVEN = 0.29  # of the burst: the deviation of a level of which nothing is known
 LITTLE = 3.0  # tries: with no more than that in the store, the others hold back too
+STALE = 8.0  # seconds after which a reading tells no more of what a store holds
 UNIT_LEARN = 0.1  # weight of a try in the average units
 UNSURE = 0.5  # of what the others are expected to have sent: its deviation beside chance
 SAMPLED = 4  # once it is believed, one reading in so many goes on to weigh it
+# By twentieths of how sure it must be: so many deviations.
+DOUBTS = tuple(NormalDist().inv_cdf(min(0.95, max(0.05, n / 20))) for n in range(21))
 
 
 class Meter:
@@ -150,7 +154,7 @@
         self._own = 0.0  # units sent here lately, fading over `FRESH`
         # Units that all sent on in metered periods and how long those were, fading over `STEADY` and `USUAL`.
         self._use = self._span = 0.0
-        self._long, self._longer = UNKNOWN * rate * FIRST, FIRST
+        self._long, self._longer = UNSEEN * rate * FIRST, FIRST
         self._due = now  # when the next reading should have come, had anything been sent on from here
         self._mine = self._all = 0.0  # units sent here, and everywhere, in metered periods, fading
         self._read: tuple[float, float] | None = None  # the last reading, and when
@@ -202,12 +206,16 @@
             if now - self._times[0] > 2 * (keep := 3 * BINS * grain + LONGEST):
                 self._drop(now - keep)
 
-    def spare(self, now: float, doubt: float) -> float:
-        """The units that the store holds, less `doubt` times the deviation of what the others may have sent."""
+    def heard(self, now: float) -> bool:
+        """Whether the meter has told lately enough to say anything of now."""
+        return self.told is not None and now - self.told < STALE
+
+    def spare(self, now: float, sure: float) -> float:
+        """The units that the store holds at least, with a chance of `sure`, for what the others may have sent."""
         age = now - (self.at if self.told is None else self.told)
         meant = self.others() * max(0.0, age)
         error = math.sqrt(meant * self.unit + (UNSURE * meant) ** 2)
-        return self.level - doubt * min(error, EVEN * self.burst)
+        return self.level - DOUBTS[int(sure * 20)] * min(error, EVEN * self.burst)
 
     def reading(self, now: float, used: float, meter: Meter) -> None:
         """A reading of the meter, as a share of the rate: reckon in the period that it tells of, once."""
--- a/micagate/gateway.py
+++ b/micagate/gateway.py
@@ -18,7 +18,6 @@
 
 RETRY_SHARE, RETRY_DEPTH = 0.2, 10.0  # retry budget: further attempts per first try, and how many it saves up
 ADVICE = 0.2  # of the aim: the longest wait that a refusal advises
-TOOK = 0.1  # weight of an attempt in how long a customer's are on average
 WAITS, ALIKE = 32, 0.02  # latest first tries of a class whose waits are kept; those this near are alike
 
 
@@ -165,10 +164,10 @@
         elif kind == "aim" and attempt is not None and not attempt.signalled:
             attempt.signalled = True
             self.fleet.given_up(now, (name, number))
-            if self.fleet.overtaken(attempt.worker, attempt.sent):
+            if overtaken := self.fleet.overtaken(attempt.worker, attempt.sent):
                 self.fleet.tails.missed(now)
                 attempt.free()  # its answer was written and got lost: the customer's place is free
-            if attempt.klass.effect == i.SIDE_EFFECT or self.fleet.overtaken(attempt.worker, attempt.sent):
+            if overtaken or attempt.klass.effect == i.SIDE_EFFECT:
                 self.fleet.silent(now, attempt.worker, attempt.klass)
             lost = self.fleet.loses(now, attempt.worker, attempt.klass)
             if not lost and not self.fleet.lossy():
@@ -219,8 +218,7 @@
         for ref in attempt.timers:
             self._timers.pop(ref, None)
         attempt.status = event.status
-        attempt.free()
-        attempt.account.took += (event.took - attempt.account.took) * (TOOK if attempt.account.took else 1.0)
+        attempt.end(event.took)
         if event.used is not None:
             attempt.account.metered(now, event.used, self.quotas.meter)
         self.fleet.returned(now, attempt.worker, key, attempt.klass, event.status, event.took)
--- a/micagate/pending.py
+++ b/micagate/pending.py
@@ -5,6 +5,8 @@
 from micagate import interface as i
 from micagate.accounts import Account
 
+TOOK = 0.1  # weight of an attempt in how long a customer's are on average
+
 
 class Attempt:
     """An attempt until its outcome has come."""
@@ -18,6 +20,12 @@
         self.timers: list[int] = []
         self.counted = True  # among what its customer has out
 
+    def end(self, took: float) -> None:
+        """It is out no more, after `took` seconds, which are averaged with its customer's others."""
+        self.free()
+        account = self.account
+        account.took += (took - account.took) * (TOOK if account.took else 1.0)
+
     def free(self) -> None:
         """Count it no more among what its customer has out."""
         if self.counted:
--- a/micagate/quotas.py
+++ b/micagate/quotas.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from statistics import NormalDist
 
 from micagate import interface as i
-from micagate.accounts import Account, Table
+from micagate.accounts import Account
 from micagate.debts import Debts
 from micagate.estimates.metering import BINS, Meter
 from micagate.shares import Shares, customer_key
+from micagate.table import Table
 from micagate.workload import asked_of
 
 DECAY = 0.7  # of the forecast, each second (ours)
@@ -18,11 +18,8 @@
 AIMED = 0.6  # of the quota: what slices steer the use to with the whole store empty; 1.6 when full (ours)
 LATE = 3.0  # seconds by which readings of the meter, smoothed, are late: a slice tells by then (ours)
 RETURNS = 0.8  # of what a refusal leaves in a store, what a later try makes good (ours)
-STALE = 8.0  # seconds after which a reading tells no more of what a store holds (ours)
 IDLE = 30.0  # seconds after which an idle customer's entry may go (ours)
 
-# By twentieths of how sure it must be: so many deviations.
-DOUBTS = tuple(NormalDist().inv_cdf(min(0.95, max(0.05, n / 20))) for n in range(21))
 
 
 class Quotas:
@@ -119,8 +116,7 @@
         """
         whole, cost = a.whole, max(0.0, a.plan.excess_cost - a.plan.beyond_earns)
         sure = cost / (cost + 1 - RETURNS)
-        told = whole.told is not None and a.at - whole.told < STALE
-        known = told and a.over == a.spread and not pressed
+        known = whole.heard(a.at) and a.over == a.spread and not pressed
         if a.plan.at_once:
             if a.out >= max(1, int(a.plan.at_once)):
                 return False
@@ -137,7 +133,7 @@
             return True
         # Never further ahead of what the slices gave than the rest of the whole store.
         ahead = a.store + a.plan.burst - a.depth
-        return known and min(whole.spare(a.at, DOUBTS[int(sure * 20)]), ahead) >= units
+        return known and min(whole.spare(a.at, sure), ahead) >= units
 
     def allowed(self, a: Account, units: float, beyond: bool) -> bool:
         """Whether the ceiling has room; what goes beyond the quota leaves half of it to what is inside."""
--- a/tests/decisions/test_module.py
+++ b/tests/decisions/test_module.py
@@ -16,12 +16,12 @@
 
 def test_all_decisions_on_a_request_are_policy_and_stay_short():
     assert {f"micagate/{name}.py" for name in ("gateway", "fleet", "quotas", "accounts", "throttle")} <= set(POLICY)
-    assert sum(bool(line.strip()) for text in TEXTS.values() for line in text.splitlines()) <= 1200
+    assert sum(text.count("\n") for text in TEXTS.values()) <= 1200
     assert max(len(line) for text in TEXTS.values() for line in text.splitlines()) <= 110
 
 
 @pytest.mark.parametrize("name", [*POLICY, "micagate/interface.py", "micagate/workload.py", "micagate/worker.py",
-                                  "micagate/pending.py", "micagate/estimates/metering.py",
+                                  "micagate/pending.py", "micagate/table.py", "micagate/estimates/metering.py",
                                   "micagate/estimates/tails.py"])
 def test_imports_nothing_that_does_io_or_reads_a_clock(name):
     allowed = {"__future__", "math", "collections", "random", "micagate", "dataclasses", "statistics",
--- a/tests/decisions/test_quotas.py
+++ b/tests/decisions/test_quotas.py
@@ -1,8 +1,8 @@
 """Slices, stores, ceilings and at-once caps."""
 
 from micagate import interface as i
-from micagate.estimates.metering import Meter
-from micagate.quotas import AIMED, IDLE, STALE, Quotas
+from micagate.estimates.metering import STALE, Meter
+from micagate.quotas import AIMED, IDLE, Quotas
 from rig.customers import Day, play, total
 from rig.driver import Driver, sends
 
@@ -153,7 +153,7 @@
             a.whole.level, a.whole.at = level, a.at + 1.0
             a = asked(quotas, a.at + 1.0, 3.0, used=used)
         aim = AIMED + level / PLAN.burst  # empty it steers below the quota, full beyond
-        assert abs(a.slice - min(PLAN.rate, aim * PLAN.rate - 1.0)) < 0.3
+        assert abs(a.slice - max(a.floor, min(PLAN.rate, aim * PLAN.rate - 1.0))) < 0.1
 
 
 def test_a_slice_follows_from_what_stood_when_the_use_was_metered():
@@ -236,6 +236,7 @@
     quotas, a = calm(plan=plan)
     a.took, a.out = 0.1, 1
     assert quotas.inside(a, 1.0, False)  # its part has one place, but the others surely have none out
+    assert not quotas.inside(a, 1.0, True)
     a.out = 2
     assert not quotas.inside(a, 1.0, False)  # never beyond the whole
     quotas, a = calm(plan=plan, used=0.9)
@@ -244,6 +245,9 @@
     a = Quotas(0.0).account(0.0, "c", plan, 3)
     a.out = 1
     assert not quotas.inside(a, 1.0, False)  # nothing is known of it
+    quotas, a = calm(plan=i.Plan("one", rate=4.0, burst=12.0, at_once=1.0))
+    a.out = 1
+    assert not quotas.inside(a, 1.0, False)
 
 
 def test_repeats_ask_for_nothing_more():
@@ -278,7 +282,7 @@
 
 def test_lost_answers_do_not_shut_out_calm_customers():
     days = [play(Day(lost=0.03), seed) for seed in range(4)]  # 0.951 and 0.876 with a place for each part
-    assert total(days, "calm")["served"] > 0.955
+    assert total(days, "calm")["served"] > 0.96
     assert total(days, "full")["served"] > 0.89
 
 
--- a/tests/estimates/test_metering.py
+++ b/tests/estimates/test_metering.py
@@ -6,6 +6,7 @@
 import pytest
 
 from micagate.estimates.metering import LONGEST, Meter, Whole
+from rig.traffic import PlanShape, Store
 
 
 class World:
@@ -20,15 +21,13 @@
     def customer(self, name):
         self.wholes[name] = [Whole(self.rate, self.burst, self.gateways, self.now, self.burst / 2)
                              for _ in range(self.gateways)]
-        self.sends[name], self.true[name] = [], (self.burst, self.now)
+        self.sends[name], self.true[name] = [], Store(PlanShape(self.rate, self.burst), self.now)
 
     def level(self, name):
-        level, at = self.true[name]
-        return min(self.burst, level + (self.now - at) * self.rate)
+        return self.true[name].fill(self.now)
 
     def send(self, name, gateway, units=1.0):
-        level = self.level(name)
-        self.true[name] = (level - units if level >= units else level), self.now
+        self.true[name].take(self.now, units)
         self.sends[name].append((self.now, units))
         whole = self.wholes[name][gateway]
         whole.sent(self.now, units, self.period / 32)
@@ -141,7 +140,7 @@
     for _ in range(8):
         whole.sent(world.now, 1.0, 0.06)
     assert whole.others() > before + 1.0
-    assert whole.spare(world.now, 1.0) < whole.spare(world.now, 0.0) == whole.level
+    assert whole.spare(world.now, 0.85) < whole.spare(world.now, 0.5) == whole.level
 
 
 def test_units_beyond_an_at_once_cap_take_nothing():
--- a/tests/planners/test_paces.py
+++ b/tests/planners/test_paces.py
@@ -137,7 +137,6 @@
             shown = table(states, fleet.terms.shards)
             report = await playing
             assert "can do /s" in shown and "worker-3" in shown
-            # What is served is held in simulated time above: here it hangs on what else the machine does.
-            assert json.dumps(states) and report.ends["served"] > 100, report.ends
+            assert json.dumps(states) and report.share > 0.7, report.ends
             await until(lambda: all(gate.process.returncode is None for gate in fleet.forwarders))
     run(scenario())
