--- a/tests/planners/test_paces.py
+++ b/tests/planners/test_paces.py
@@ -43,14 +43,16 @@
 
 
 def test_uneven_workers_get_what_they_can_do_and_no_less_is_served():
-    gains = []
+    shares, gains = [], []
     for seed in (2,):
         with_, without = cluster(seed, True), cluster(seed, False)
-        gains.append(with_.served(4.0, 10.0) - without.served(4.0, 10.0))
+        shares.append(with_.served(4.0, 10.0))
+        gains.append(shares[-1] - without.served(4.0, 10.0))
         told = [with_.ledger.workers(10.0)[worker_key(f"w{n}")]["pace"] for n in range(8)]
         assert statistics.mean(told[6:]) > 3 * statistics.mean(told[:2]), told
         assert paces_known(with_) > FORWARDERS / 2 and paces_known(without) == 0
-    assert min(gains) >= 0.0, gains  # both serve all, since long answers are no more called off for nothing
+    # Both serve all, since long answers are no more called off for nothing: 0.993 and 0.905 before.
+    assert min(gains) >= 0.0 and min(shares) > 0.99, (gains, shares)
 
 
 def test_a_worker_that_slows_to_a_tenth_is_asked_less_and_more_again_when_it_is_back():
