Under control let the leaky bucket be full earlier for classes that are worth less

The settings tell that (Importance), and nothing read it.

Quotas come first as before, and the rate let in stays the loop's.

--- a/micagate/adapter.py
+++ b/micagate/adapter.py
@@ -37,7 +37,8 @@
     classes = tuple(
         i.RequestClass(name=c["Name"], aim=c["SloUs"] / MICRO, deadline=c["DeadlineUs"] / MICRO,
                        effect=c["Effect"], group=c["Group"], window=c["WindowUs"] / MICRO,
-                       streaming=c["Streaming"], late_worth=c["LateWorth"])
+                       streaming=c["Streaming"], late_worth=c["LateWorth"],
+                       importance=c.get("Importance", 1.0))
         for c in facts["Classes"])
     plans = tuple(
         i.Plan(name=p["Name"], rate=p["Refill"], burst=p["MostAtOnce"], at_once=p["AtOnce"],
--- a/micagate/fleet.py
+++ b/micagate/fleet.py
@@ -6,6 +6,7 @@
 from random import Random
 
 from micagate import interface as i
+from micagate.estimates.recent import BRISK, SPELL, Recent
 from micagate.estimates.tails import Tails
 from micagate.shares import Shares, worker_key
 from micagate.worker import Worker
@@ -22,9 +23,9 @@
 RECENT = 2.0  # seconds over which the fleet's pace is averaged
 LATE_SHARE, OLD_SHARE = 0.5, 0.15  # of the aim: expected answer time and mean age out of a sure latecomer
 ENOUGH = 10.0  # attempts out or just answered that Little's law needs to mean something
-LOW_SHARE, HIGH_SHARE = 0.2, 0.4  # of the aim: pooled answer time at which none, and all, are refused
+LOW_SHARE, HIGH_SHARE = BRISK, 0.4  # of the aim: pooled answer time at which none, and all, are refused
 YOUNG_SHARE = 0.05  # of the aim: mean age under which what is out is a burst, not a queue
-SPELL, PRIOR = 2.0, 1.0  # seconds of answers pooled where there are fewer, and usual ones mixed in
+PRIOR = 1.0  # usual answers mixed in where few are pooled
 SPARE = 2.0  # what a warm worker could take over what it gets, at the least (cold guard with many gateways)
 TOGETHER = 3.0  # attempts at a worker that all gateways together may always have (latecomer and cold guards)
 LOSSY, LOSSIER = 0.3, 4.0  # share of answers that a worker loses, and times what another loses: it loses them
@@ -39,11 +40,9 @@
         self.workers: dict[str, Worker] = {}
         self._usual: dict[str, float] = {}
         self._done, self._done_at = 0.0, now
-        # Of the last answers: their times, their aims, and the aims of those that were given up.
-        self._took, self._aims, self._lost, self._told_at = 0.0, 0.0, 0.0, now
         # Out, and not past its aim: when sent, the aim and where.
         self._waiting: dict[tuple[str, int], tuple[float, float, Worker]] = {}
-        self.serving, self.tails = 0, Tails(now)
+        self.serving, self.tails, self.recent = 0, Tails(now), Recent(now)
         self._brisk = math.inf  # the shortest usual answer time so far, of the class that takes longest
         self._answers = 0
         self._surveyed_at = now
@@ -273,16 +272,15 @@
         and those still out by their age; some usual ones are mixed in, so that one or two say little. A lost
         answer counts once, as one that took its aim, if others are slow. Harm: it hears seconds late.
         """
-        fade = math.exp((self._told_at - now) / SPELL)
-        answered, usual = self._took * fade, PRIOR * self._aim
+        (answered, aims, missed), usual = self.recent.at(now), PRIOR * self._aim
         waiting = [(sent, aim) for sent, aim, worker in self._waiting.values()
                    if not self._gone(now, worker, sent)]
         ages = sum(now - sent for sent, _ in waiting)
-        lost = 0.0 if self.lossy() else self._lost * fade
+        lost = 0.0 if self.recent.lossy() else missed
         out = sum(aim for _, aim in waiting)
         new = self._answers < ENOUGH  # no pace is known yet: what is out tells by its age alone
         share = (OLD_SHARE * usual + answered + lost + ages) / (
-            usual + self._aims * fade + lost + (out if new else 0.0))
+            usual + aims + lost + (out if new else 0.0))
         crowd = (1 + len(waiting)) / (1 + max(1.0, answered / SPELL))
         if new or ages < YOUNG_SHARE * out:
             crowd = min(1.0, crowd)  # much out but all young: a burst on idle workers
@@ -375,20 +373,7 @@
         """An attempt is past its aim: it has told of its lateness, and may be lost rather than waiting."""
         self._pooled = None
         if (waited := self._waiting.pop(key, None)) is not None:
-            self._tell(now, 0.0, 0.0, waited[1])
-
-    def _tell(self, now: float, took: float, aim: float, lost: float = 0.0) -> None:
-        fade, self._told_at = math.exp((self._told_at - now) / SPELL), now
-        self._took, self._aims = self._took * fade + took, self._aims * fade + aim
-        self._lost = self._lost * fade + lost
-
-    def lossy(self) -> bool:
-        """Whether silence tells of lost answers, not of load: those that come are brisk and no fewer.
-
-        Guards against control over losses of the network, hung and dying workers. Harm: where part of the
-        fleet is overloaded and the rest is not, silence starts control only by what comes late.
-        """
-        return self._took < LOW_SHARE * self._aims and self._lost <= self._aims
+            self.recent.missed(now, waited[1])
 
     def overtaken(self, name: str, sent: float) -> bool:
         """Whether the worker has answered something that was sent to it later."""
@@ -433,7 +418,7 @@
             self._fade(now)
             self._done += 1
             usual = self._usual.setdefault(klass.name, took)
-            self._tell(now, took, klass.aim)
+            self.recent.answered(now, took, klass.aim)
             worker.slow = self._slow(now, worker)
             worker.slow += LEARN * (min(10.0, took / max(usual, 1e-6)) - worker.slow)
             worker.learned, worker.fails = now, 0
--- a/micagate/gateway.py
+++ b/micagate/gateway.py
@@ -28,6 +28,8 @@
         self._s = settings
         self._classes = {c.name: c for c in settings.classes}
         self._plans = {p.name: p for p in settings.plans}
+        top = max((c.importance for c in settings.classes), default=1.0)
+        self._worth = {c.name: c.importance / top for c in settings.classes}  # next to the dearest class
         self._random = Random(seed)
         self.throttle = Throttle(now, len(settings.plans))
         shares = Shares()
@@ -97,7 +99,7 @@
             self._refuse(event.request, klass.aim)
             return
         worker = self.fleet.pick(now, klass, set())
-        if worker is not None and not self.throttle.admit(now):
+        if worker is not None and not self.throttle.admit(now, self._worth[klass.name]):
             worker = None
         if worker is not None and self.fleet.overdue(now, account.room()):
             self.throttle.signal(now, worker, plan.name, now)
@@ -170,7 +172,7 @@
             if overtaken or attempt.klass.effect == i.SIDE_EFFECT:
                 self.fleet.silent(now, attempt.worker, attempt.klass)
             lost = self.fleet.loses(now, attempt.worker, attempt.klass)
-            if not lost and not self.fleet.lossy():
+            if not lost and not self.fleet.recent.lossy():
                 self.throttle.signal(now, attempt.worker, attempt.account.plan.name, attempt.sent)
         elif kind == "deadline" and pending is not None and not pending.streaming:
             self._end(pending)
@@ -225,7 +227,7 @@
         if event.status == i.SUCCESS and event.took > self._silence(attempt.klass):
             self.fleet.tails.came(now, event.took > attempt.klass.aim)
         if event.status in (i.FULL, i.TIMED_OUT):
-            if not attempt.signalled and (event.status == i.FULL or not self.fleet.lossy()):
+            if not attempt.signalled and (event.status == i.FULL or not self.fleet.recent.lossy()):
                 self.throttle.signal(now, attempt.worker, attempt.account.plan.name, attempt.sent)
         else:
             self._late(now, attempt, event.took)
@@ -259,7 +261,9 @@
         if len(pending.attempts) >= self._s.max_attempts or self._budget < 1:
             return False
         worker = self.fleet.pick(now, klass, {a.worker for a in pending.attempts}, zone, cell)
-        if worker is None or self.fleet.overdue(now, pending.account.room()) or not self.throttle.admit(now):
+        if worker is None or self.fleet.overdue(now, pending.account.room()):
+            return False
+        if not self.throttle.admit(now, self._worth[klass.name]):
             return False
         self._budget -= 1
         self._send(now, pending, worker)
--- a/micagate/interface.py
+++ b/micagate/interface.py
@@ -38,9 +38,12 @@
     window: float = 0.0
     streaming: bool = False
     late_worth: float = 0.0
+    importance: float = 1.0  # worth of one request next to those of other classes
 
     def __post_init__(self) -> None:
         _check(self, 0.0, ("aim", "deadline", "window", "late_worth"))
+        if not 0 < self.importance < float("inf"):
+            raise ValueError(f"RequestClass.importance must be a number above 0, not {self.importance!r}")
         if self.effect not in EFFECTS:
             raise ValueError(f"RequestClass.effect must be one of {EFFECTS}, not {self.effect!r}")
         if self.group not in GROUPS:
--- a/tests/backend/test_losses.py
+++ b/tests/backend/test_losses.py
@@ -100,7 +100,7 @@
         d.gateway.throttle._due = d.now + 9.0
         name, actions = d.ask()
         d.give(i.WorkerList((i.WorkerEntry("far", zone="b"),)))
-        d.gateway.fleet._lost = 900.0  # silence would be taken for load
+        d.gateway.fleet.recent._missed = 900.0  # silence would be taken for load
         assert d.pass_time(0.9).count(i.Cancel(name, 0)) == expected
         d.pass_time(0.2)
         assert len(d.gateway.throttle._signals) == 1 - expected
--- a/tests/decisions/test_throttle.py
+++ b/tests/decisions/test_throttle.py
@@ -1,7 +1,7 @@
 """The bucket and its loop."""
 
 from micagate import throttle
-from micagate.interface import RequestClass
+from micagate.interface import Plan, RequestClass
 from micagate.throttle import Throttle
 from rig.driver import SETTINGS, Driver, sends
 
@@ -268,13 +268,13 @@
 
 def test_lost_answers_are_no_signals_while_the_others_are_brisk():
     d = silent(5)
-    assert d.gateway.fleet.lossy()
+    assert d.gateway.fleet.recent.lossy()
     assert len(d.gateway.throttle._signals) <= 1 and not d.gateway.throttle.on  # the guard's, by chance
 
 
 def test_silence_of_all_workers_still_starts_control():
     d = silent(1)
-    assert not d.gateway.fleet.lossy()
+    assert not d.gateway.fleet.recent.lossy()
     assert d.gateway.throttle.on
 
 
@@ -289,3 +289,54 @@
     throttle._due = throttle._leaked = d.now + 60
     d.ask("write")
     assert len(throttle._signals) == seen + 1  # refused by the bucket: none
+
+
+def pressed(dear_worth=1.0, seconds=20):
+    """Under control at a rate of 20 a second: what is let in of 40 a second of each of two classes, the last half."""
+    t, _ = loaded(signals=0, seconds=4)
+    let_in = [0, 0]
+    for n in range(seconds * 40):
+        now = 4.0 + n / 40
+        for klass, worth in enumerate((0.2, dear_worth)):
+            admitted = t.admit(now, worth)
+            let_in[klass] += admitted and 2 * n >= seconds * 40
+        if n % 10 < 2:
+            t.signal(now, WORKERS[n // 10 % 9], PLANS[n % 3], now)
+    assert t.on
+    return let_in
+
+
+def test_under_control_what_is_worth_less_is_refused_first_and_no_more_is_let_in():
+    cheap, dear = pressed()
+    assert dear > 10 * max(1, cheap)
+    alike = pressed(dear_worth=0.2)
+    assert 0.8 < sum(alike) / (cheap + dear) < 1.25  # the rate is the loop's, whoever uses it
+
+
+def test_what_is_worth_less_gets_the_room_that_nothing_else_asks_for():
+    t, _ = loaded(signals=0, seconds=4)
+    for n in range(9):
+        t.signal(4.0, WORKERS[n], PLANS[n % 3], 4.0)
+    assert t.on
+    assert sum(t.admit(4.0 + n / 40, 0.0) for n in range(400)) > 0.95 * 10 * 20
+
+
+def test_a_class_of_low_importance_makes_room_for_the_others_while_the_back_end_is_pressed():
+    def played(importance):
+        classes = (RequestClass("cheap", aim=1.0, deadline=4.0),
+                   RequestClass("dear", aim=1.0, deadline=4.0, importance=importance))
+        asked = ("cheap", "dear")
+        d, served = Driver(classes=classes, plans=(Plan("a"), Plan("b"))), {"cheap": 0, "dear": 0}
+        for n in range(2000):
+            name, actions = d.ask(asked[n % 2], "ab"[n // 2 % 2], after=0.02)
+            for worker in sends(actions):
+                served[asked[n % 2]] += 1
+                # One answer of five is late: control is on for as long as this goes on.
+                d.answer(name, worker, took=1.5 if sum(served.values()) % 5 == 0 else 0.1)
+        assert d.gateway.throttle.on
+        return served
+
+    apart, alike = played(3.0), played(1.0)
+    assert apart["dear"] > 1.5 * apart["cheap"] > 0
+    assert 0.9 < alike["dear"] / alike["cheap"] < 1.1
+    assert 0.9 < sum(apart.values()) / sum(alike.values()) < 1.1
--- a/tests/project/test_readme.py
+++ b/tests/project/test_readme.py
@@ -57,7 +57,7 @@
 
 @pytest.mark.parametrize("value", [-1.0, math.nan, math.inf])
 def test_wrong_numbers_are_turned_away_by_the_field_s_name(value: float):
-    for make, field in ((Settings, "tick"), (RequestClass, "aim"), (Plan, "rate")):
+    for make, field in ((Settings, "tick"), (RequestClass, "aim"), (RequestClass, "importance"), (Plan, "rate")):
         good = {**SETTINGS} if make is Settings else {"name": "x", "aim": 1.0, "deadline": 2.0}
         if make is Plan:
             good = {"name": "x"}
