Let a single worker or a single plan press the leak rate down, not only start control

Cause: no worker's and no plan's signals count beyond a share of the target, so that one sick one does not strangle the fleet; where there is only one, that share is the target itself, and what is measured never exceeds it: control starts and the rate never falls. Found by a test with one plan. Change: no cap where there is one alone.

--- a/micagate/throttle.py
+++ b/micagate/throttle.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 
 # (BT contribution C4-051699, "the paper"; "ours" where it gives no figure).
@@ -45,11 +46,12 @@
         """
         whole = self.target(base) * PERIOD
         totals = []
-        for place, parts in ((1, self.workers / SICK_SHARE), (2, self.plans * PLAN_SHARE)):
+        for place, number, share in ((1, self.workers, 1 / SICK_SHARE), (2, self.plans, PLAN_SHARE)):
             counts: dict[str | float, int] = {}
             for signal in self._signals:
                 counts[signal[place]] = counts.get(signal[place], 0) + 1
-            cap = max(1.0, whole / max(1.0, parts))
+            # One alone is all there is: capped, it could start control but never press the rate down.
+            cap = max(1.0, whole / max(1.0, number * share)) if number > 1 else math.inf
             totals.append(sum(min(cap, count) for count in counts.values()))
         return min(totals)
 
--- a/tests/decisions/test_throttle.py
+++ b/tests/decisions/test_throttle.py
@@ -136,6 +136,17 @@
     assert len(d.gateway.throttle._signals) == 1  # and the refusal tells the loop
 
 
+def test_one_worker_or_one_plan_alone_can_press_the_rate_down():
+    for plans, workers in ((1, 9), (3, 1), (1, 1)):
+        t = Throttle(0.0, plans)
+        t.workers = workers
+        for n in range(1200):
+            now = n / 20
+            if t.admit(now) and n % 2:  # half of what is let in goes wrong
+                t.signal(now, WORKERS[n % workers], PLANS[n % plans], now)
+        assert t.on and t.rate < 0.4 * t.base, (plans, workers, t.rate)
+
+
 def test_one_plan_that_goes_wrong_everywhere_does_not_start_control():
     t, _ = loaded(signals=0, seconds=4)
     for n in range(200):
