Under control let what is worth less count as a latecomer earlier, too

Change: under control a class has a part of the guard's bar, as it has of the bucket; without control, and where classes are worth the same, nothing changes (recorded traces as before).

--- a/micagate/fleet.py
+++ b/micagate/fleet.py
@@ -238,9 +238,11 @@
             ring = list(dict.fromkeys(ring[(begin + n * step) % many] for n in range(LOOK)))
         return ring
 
-    def overdue(self, now: float, room: float) -> bool:
+    def overdue(self, now: float, room: float, part: float = 1.0) -> bool:
         """Whether one more would likely miss its aim: then the gateway says the `full` that workers can't.
 
+        A class that has but a part of the bar is refused that much earlier.
+
         Little's law: what is out over the pace of answers is the time a new one takes. The mean age of what
         is out must be up as well, since a burst on idle workers has much out and no pace yet. Stalled
         workers are left out, and one each (three for all gateways together) may always be out, so that the
@@ -259,7 +261,7 @@
         if out <= len(pool) * min(1.0, TOGETHER / self._s.gateways):
             return False
         age = now - sum(map(sum, queued)) / out
-        return age > OLD_SHARE * self._aim and out > LATE_SHARE * self._aim * done / RECENT
+        return age > OLD_SHARE * self._aim and out > part * LATE_SHARE * self._aim * done / RECENT
 
     def few(self) -> bool:
         """Whether too little is out and answered to measure a queue by."""
--- a/micagate/gateway.py
+++ b/micagate/gateway.py
@@ -17,6 +17,7 @@
 from micagate.throttle import Throttle
 
 RETRY_SHARE, RETRY_DEPTH = 0.2, 10.0  # retry budget: further attempts per first try, and how many it saves up
+CHEAP = 0.5  # of the bounds under pressure: what a class has that is worth next to nothing (ours)
 ADVICE = 0.2  # of the aim: the longest wait that a refusal advises
 WAITS, ALIKE = 32, 0.02  # latest first tries of a class whose waits are kept; those this near are alike
 
@@ -29,7 +30,10 @@
         self._classes = {c.name: c for c in settings.classes}
         self._plans = {p.name: p for p in settings.plans}
         top = max((c.importance for c in settings.classes), default=1.0)
-        self._worth = {c.name: c.importance / top for c in settings.classes}  # next to the dearest class
+        # What each class has of the bucket and of the latecomers' bar under control: less where it is worth
+        # less, so that the room goes to what is worth most inside the quotas (RFC 7415, 3.5.2: thresholds by
+        # priority). Harm: as long as dear classes fill the room, cheap ones are all refused.
+        self._part = {c.name: CHEAP + (1 - CHEAP) * c.importance / top for c in settings.classes}
         self._random = Random(seed)
         self.throttle = Throttle(now, len(settings.plans))
         shares = Shares()
@@ -99,9 +103,10 @@
             self._refuse(event.request, klass.aim)
             return
         worker = self.fleet.pick(now, klass, set())
-        if worker is not None and not self.throttle.admit(now, self._worth[klass.name]):
+        part = self._part[klass.name] if self.throttle.on else 1.0
+        if worker is not None and not self.throttle.admit(now, part):
             worker = None
-        if worker is not None and self.fleet.overdue(now, account.room()):
+        if worker is not None and self.fleet.overdue(now, account.room(), part):
             self.throttle.signal(now, worker, plan.name, now)
             worker = None
         if worker is None:
@@ -261,9 +266,10 @@
         if len(pending.attempts) >= self._s.max_attempts or self._budget < 1:
             return False
         worker = self.fleet.pick(now, klass, {a.worker for a in pending.attempts}, zone, cell)
-        if worker is None or self.fleet.overdue(now, pending.account.room()):
+        part = self._part[klass.name] if self.throttle.on else 1.0
+        if worker is None or self.fleet.overdue(now, pending.account.room(), part):
             return False
-        if not self.throttle.admit(now, self._worth[klass.name]):
+        if not self.throttle.admit(now, part):
             return False
         self._budget -= 1
         self._send(now, pending, worker)
--- a/micagate/throttle.py
+++ b/micagate/throttle.py
@@ -9,7 +9,6 @@
 PERIOD = 2.0  # seconds measured before an update of the leak rate (paper: 4)
 PAUSE = 0.5  # seconds ignored after it (paper: 1)
 MAX_FILL = 5.0  # the bucket's size and its fill at the start of control (paper)
-LEAST_FULL = 0.5  # of it: where the bucket is full for a class worth next to nothing (ours)
 SPLASH = 1.0  # what a request let through adds (paper)
 SLOWEST, FASTEST = 0.1, 4.5  # leak rate's bounds over the rate before control (paper: 1 s, 22 ms over 0.1 s)
 TARGET_SHARE = 0.05  # target overload rate over the rate before control (paper: 1 of 11 a second)
@@ -109,17 +108,13 @@
         self._since, self._due = now, now + PERIOD
         self._prune(now)
 
-    def admit(self, now: float, worth: float = 1.0) -> bool:
-        """Whether the bucket lets a request through, of a class worth this share of the dearest; counts it.
-
-        It is full earlier for what is worth less, so that under control the room goes to what is worth most
-        of what would be let in (RFC 7415, 3.5.2: thresholds by priority). Harm: cheap classes wait longest.
-        """
+    def admit(self, now: float, part: float = 1.0) -> bool:
+        """Whether the bucket, full at this part of its size, lets a request through; counts it either way."""
         self.advance(now)
         if self.on:
             self.fill = max(0.0, self.fill - (now - self._leaked) * self.rate)
             self._leaked = now
-            if self.fill + SPLASH > MAX_FILL * (LEAST_FULL + (1 - LEAST_FULL) * worth):
+            if self.fill + SPLASH > MAX_FILL * part:
                 self._refusals.append(now)
                 return False
             self.fill += SPLASH
--- a/tests/decisions/test_throttle.py
+++ b/tests/decisions/test_throttle.py
@@ -136,6 +136,25 @@
     assert len(d.gateway.throttle._signals) == 1  # and the refusal tells the loop
 
 
+def test_latecomers_of_cheap_classes_are_refused_earlier_but_only_under_control():
+    classes = (RequestClass("cheap", aim=1.0, deadline=4.0, importance=0.01),
+               RequestClass("dear", aim=1.0, deadline=4.0))
+    d = Driver(3, classes=classes)
+    for _ in range(40):  # a pace of about ten a second: five out take half the aim
+        name, actions = d.ask("dear", after=0.1)
+        d.answer(name, sends(actions)[0], took=0.1)
+    assert all(sends(d.ask("dear")[1]) for _ in range(4))
+    d.now += 0.2
+    fleet = d.gateway.fleet
+    assert fleet.overdue(d.now, 0.0, 0.5) and not fleet.overdue(d.now, 0.0)
+    assert sends(d.ask("cheap")[1])  # no control: all alike
+    d.gateway.throttle.on, d.gateway.throttle.base, d.gateway.throttle.rate = True, 10.0, 10.0
+    d.gateway.throttle.fill = 0.0
+    d.answer("r45", next(name for name, worker in fleet.workers.items() if ("r45", 0) in worker.out))
+    assert not sends(d.ask("cheap")[1]) and sends(d.ask("dear")[1])
+    assert len(d.gateway.throttle._signals) == 1
+
+
 def test_one_worker_or_one_plan_alone_can_press_the_rate_down():
     for plans, workers in ((1, 9), (3, 1), (1, 1)):
         t = Throttle(0.0, plans)
@@ -302,14 +321,14 @@
     assert len(throttle._signals) == seen + 1  # refused by the bucket: none
 
 
-def pressed(dear_worth=1.0, seconds=20):
+def pressed(dear_part=1.0, seconds=20):
     """Under control at a rate of 20 a second: what is let in of 40 a second of each of two classes, the last half."""
     t, _ = loaded(signals=0, seconds=4)
     let_in = [0, 0]
     for n in range(seconds * 40):
         now = 4.0 + n / 40
-        for klass, worth in enumerate((0.2, dear_worth)):
-            admitted = t.admit(now, worth)
+        for klass, part in enumerate((0.6, dear_part)):
+            admitted = t.admit(now, part)
             let_in[klass] += admitted and 2 * n >= seconds * 40
         if n % 10 < 2:
             t.signal(now, WORKERS[n // 10 % 9], PLANS[n % 3], now)
@@ -320,7 +339,7 @@
 def test_under_control_what_is_worth_less_is_refused_first_and_no_more_is_let_in():
     cheap, dear = pressed()
     assert dear > 10 * max(1, cheap)
-    alike = pressed(dear_worth=0.2)
+    alike = pressed(dear_part=0.6)
     assert 0.8 < sum(alike) / (cheap + dear) < 1.25  # the rate is the loop's, whoever uses it
 
 
@@ -329,7 +348,7 @@
     for n in range(9):
         t.signal(4.0, WORKERS[n], PLANS[n % 3], 4.0)
     assert t.on
-    assert sum(t.admit(4.0 + n / 40, 0.0) for n in range(400)) > 0.95 * 10 * 20
+    assert sum(t.admit(4.0 + n / 40, 0.5) for n in range(400)) > 0.95 * 10 * 20
 
 
 def test_a_class_of_low_importance_makes_room_for_the_others_while_the_back_end_is_pressed():
