Say of every setting what follows it, and turn down by name what nothing could follow

Need: settings were read where they were used, and nobody could tell which were not; a flag that is text counted as set ("Cancel": "no" as yes), an unknown mode of discovery as the usual one.

Change: micagate/facts.py holds each key with the decision that follows it or why none does, checked on both the simulator's wire and the node's file; 'python -m oliveloft settings FILE' prints it. A test changes every key: what is used must change what the decisions start from, what is not must change nothing. With it the hard cases of workers as tests (all slower at once, a room cut off, a pod with one member that drains, a rush at the start, a worker that only looks idle), which all hold, and the benchmark's pressed fleets (rig/pressed.py).

--- a/benchmarks/deployments.py
+++ b/benchmarks/deployments.py
@@ -1,10 +1,12 @@
-"""What the decisions serve at deployments of two kinds, against a policy with the true state: the parts of quotas.
+"""What the decisions serve at deployments of two kinds, against what is possible: quotas, and a pressed fleet.
 
 `python -m benchmarks.deployments [--short]`. The last line is one JSON object. Each day is drawn from a seed and played
 twice on the same arrivals: by gatekeepers that reckon the whole store from the meter, and by their parts alone, with no
 meter, both against one store for each customer that sees all tries. The kinds are the project's own: the first with a
 quick meter, small customers and marked repeats; the second with a slow meter, tries of up to four units, unmarked
-repeats and few places at once. Workers, load reports, cold workers and drains are not in it yet.
+repeats and few places at once. Then each kind's fleet is pressed, released and slowed down (`rig/pressed.py`), by
+decisions that know what classes are worth and by the same ones not told, on the same arrivals. Load reports are not in
+it: no decision follows them.
 """
 
 from __future__ import annotations
@@ -18,7 +20,10 @@
 
 from benchmarks.planners import spread
 from micagate import interface as i
+from rig.capacity import Capacity
 from rig.customers import Day, play, total, wide
+from rig.pressed import Kind
+from rig.pressed import play as press
 
 SLOW_METER = Day(
     gateways=2, customers=90, seconds=40.0, skew=0.45, moves=14.0, patient=0.65, elsewhere=0.5, late=0.7, period=2.0,
@@ -27,8 +32,23 @@
         i.Plan("middle", rate=5.3, burst=22.0, at_once=2.0, excess_cost=1.2),
         i.Plan("large", rate=21.0, burst=42.0, excess_cost=0.6)))
 KINDS = {"first": replace(wide(3), seconds=40.0), "second": SLOW_METER}
+PRESSED = {
+    "first": Kind(
+        ((i.RequestClass("fetch", aim=1.0, deadline=4.0, importance=3.0), 0.6, 4.0),
+         (i.RequestClass("file", aim=1.0, deadline=4.0, effect=i.SIDE_EFFECT, importance=2.0), 0.4, 5.0)),
+        gateways=3, workers=10, capacity=Capacity(cores=2, queue=24, cold_from=0.24, ramp=9.0, thrash=0.02),
+        overload_factor=2.0, fall_time=3.0),
+    "second": Kind(
+        ((i.RequestClass("read", aim=1.2, deadline=3.0, importance=1.0), 0.61, 5.0),
+         (i.RequestClass("change", aim=0.6, deadline=1.5, effect=i.TOKEN, group="cell", window=3.0,
+                         importance=2.0), 0.20, 3.5),
+         (i.RequestClass("pay", aim=1.2, deadline=4.0, effect=i.SIDE_EFFECT, importance=3.0), 0.19, 5.0)),
+        gateways=2, workers=10, capacity=Capacity(cores=2, queue=24, cold_from=0.21, ramp=12.0, thrash=0.02),
+        overload_factor=2.5, fall_time=1.5)}
 SURE = {"first": 0.93, "second": 0.93}  # what each must serve, and never less than parts alone by more than noise
 NOISE = 0.02
+PRESSED_SURE = {"first": 0.85, "second": 0.85}  # of the bound's worth, and no less than with all classes alike
+WASTED = 0.03  # share of the attempts begun, at the most
 
 
 def worth(day: Day, seed: int, meter: bool) -> tuple[float, float]:
@@ -60,6 +80,27 @@
         figures[f"parts_over_{kind}"] = round(statistics.median(o for _, o in parts), 4)
         figures[f"gain_{kind}"] = round(statistics.median(gains), 4)
         ok = ok and served >= SURE[kind] and statistics.median(gains) >= -NOISE
+    wasted, falls, breaks = [], 0, 0
+    for name, fleet in PRESSED.items():
+        told = [press(fleet, seed) for seed in seeds]
+        alike = [press(fleet, seed, alike=True) for seed in seeds]
+        gains = [ours.worth - theirs.worth for ours, theirs in zip(told, alike, strict=True)]
+        wasted += [day.wasted for day in told]
+        falls += sum(day.cold_falls for day in told)
+        breaks += sum(day.drain_breaks for day in told)
+        classes = ", ".join(f"{klass} {statistics.median(day.by_class[klass] for day in told):.2f}"
+                            for klass in told[0].by_class)
+        print(f"{name:7} pressed: worth {spread([day.worth for day in told])} of the bound, all classes alike "
+              f"{spread([day.worth for day in alike])}; gain {spread(gains)}; served {classes}, "
+              f"{time.monotonic() - began:.0f} s", flush=True)
+        got = statistics.median(day.worth for day in told)
+        figures[f"pressed_{name}"] = round(got, 4)
+        figures[f"pressed_{name}_spread"] = spread([day.worth for day in told])
+        figures[f"pressed_{name}_gain"] = round(statistics.median(gains), 4)
+        ok = ok and got >= PRESSED_SURE[name] and statistics.median(gains) > 0
+    figures["wasted_share"], figures["cold_falls"] = round(statistics.median(wasted), 4), falls
+    figures["drain_breaks"] = breaks
+    ok = ok and statistics.median(wasted) <= WASTED and not falls and not breaks
     print(json.dumps({**figures, "seconds": round(time.monotonic() - began, 1), "ok": ok}))
     return 0 if ok else 1
 
--- a/micagate/adapter.py
+++ b/micagate/adapter.py
@@ -8,6 +8,7 @@
 from typing import Any, TextIO
 
 from micagate import interface as i
+from micagate.facts import check
 from micagate.gateway import Gateway
 
 MICRO = 1_000_000
@@ -32,7 +33,8 @@
 
 
 def settings(facts: dict[str, Any]) -> i.Settings:
-    """Settings from the `Facts` of a `LAUNCH`; unknown keys are skipped."""
+    """Settings from the `Facts` of a `LAUNCH`; unknown keys are skipped, what can't be followed is a ValueError."""
+    check(facts)
     caps, rules, family = facts["Caps"], facts["Rules"], facts["FamilyInfo"]
     classes = tuple(
         i.RequestClass(name=c["Name"], aim=c["SloUs"] / MICRO, deadline=c["DeadlineUs"] / MICRO,
--- a/oliveloft/cli.py
+++ b/oliveloft/cli.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import argparse
+import os
 import sys
 from collections.abc import Callable, Sequence
 
@@ -68,6 +69,11 @@
     return main(words.config, words.json)
 
 
+def _settings(words: argparse.Namespace) -> int:
+    from oliveloft.gatekeeper.explain import main
+    return main(words.file, words.json)
+
+
 def _config(verb: argparse.ArgumentParser) -> None:
     verb.add_argument("--config", default="deploy/planners.toml", metavar="FILE",
                       help="the planners' configuration (default deploy/planners.toml)")
@@ -103,6 +109,10 @@
     _config(status)
     status.add_argument("--json", action="store_true", help="one JSON object")
     status.set_defaults(run=_status)
+    settings = verbs.add_parser("settings", help="what a gatekeeper's file states, and which decision follows each key")
+    settings.add_argument("file", metavar="FILE", help="a gatekeeper's JSON file, for example deploy/example.json")
+    settings.add_argument("--json", action="store_true", help="one JSON object")
+    settings.set_defaults(run=_settings)
     return top
 
 
@@ -114,3 +124,6 @@
         return run(parsed)
     except KeyboardInterrupt:
         return 0
+    except BrokenPipeError:  # whoever reads has enough; without this the interpreter fails once more at its end
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        return 0
