--- a/tests/gatekeeper/test_process.py
+++ b/tests/gatekeeper/test_process.py
@@ -30,7 +30,7 @@
     ("{", "PROXY_CONFIG"), ("[]", "PROXY_CONFIG"), (without("settings"), "settings"),
     (without("settings.Caps"), "Caps"), (without("settings.Caps.IdleCloseUs"), "IdleCloseUs"),
     (without("settings.Rules.DrainGraceUs", value="x"), "settings"),
-    (without("settings.NInstances", value=0), "gateways"), (without("settings.Classes", value=[]), "classes"),
+    (without("settings.NInstances", value=0), "NInstances"), (without("settings.Classes", value=[]), "classes"),
     (without("settings.Caps.ConnectTimeoutUs", value=-1), "ConnectTimeoutUs"),
     (without("listen", value="nowhere"), "listen"), (without("listen", value="127.0.0.1:99999"), "listen"),
     (without("discovery"), "discovery"), (without("counter", value="here"), "counter"),
