Unfreeze what earlier tests left once a scenario has ended

What is frozen is hidden from gc.get_referrers, by which Hypothesis tells whether its random source is held: it warned in the tests after a scenario. No warning is left.

--- a/rig/scripted.py
+++ b/rig/scripted.py
@@ -42,7 +42,10 @@
     """Run a scenario, which may not hang; what earlier ones left is not walked while it runs, in long pauses."""
     gc.collect()
     gc.freeze()
-    asyncio.run(asyncio.wait_for(scenario, LIMIT))
+    try:
+        asyncio.run(asyncio.wait_for(scenario, LIMIT))
+    finally:
+        gc.unfreeze()  # other libraries ask the collector who refers to what
 
 
 async def until(true: Callable[[], object]) -> None:
