Read a file of settings once, check each setting once, and drop what no check reached

Found in a read of the change: 'settings FILE' read its file twice; the checks of three times in the node's file could no longer fail since the table checks them by the same bounds; settings that nothing follows carried kinds and choices that were never looked at; unknown() told what the printed rows tell and only a test called it. Behaviour is the same; the test of unknown keys asks the rows, which name the place as well.

--- a/micagate/facts.py
+++ b/micagate/facts.py
@@ -2,12 +2,13 @@
 
 `check` turns down what nothing here could follow, by the key's name: a flag that is text counts as set, a mode of
 discovery that is not known as the usual one, and both show only when it matters. Keys that are not known
-are left alone, since platforms add some, and so is what nothing follows; `unknown` names the former.
+are left alone, since platforms add some, and so is what nothing follows.
 """
 
 from __future__ import annotations
 
 import math
+from collections import Counter
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -22,7 +23,7 @@
     `needed`: the decisions have no default for it. What the process alone follows is asked for where it is read.
     """
 
-    kind: str  # number, whole, flag, text or names
+    kind: str  # number, whole, flag or text; empty where nothing follows it, since then any value will do
     follows: str
     used: bool = True
     needed: bool = True
@@ -39,9 +40,6 @@
                 if not isinstance(value, str):
                     return "must be text"
                 return f"must be one of {', '.join(self.among)}" if self.among and value not in self.among else ""
-            case "names":
-                fits = isinstance(value, list) and all(isinstance(each, str) for each in value)
-                return "" if fits else "must be a list of names"
         if isinstance(value, bool) or not isinstance(value, int if self.kind == "whole" else int | float):
             return f"must be a {'whole ' if self.kind == 'whole' else ''}number"
         if not (math.isfinite(value) and self.least <= value <= self.most):
@@ -49,8 +47,8 @@
         return ""
 
 
-def _left(kind: str, why: str, **more: Any) -> Fact:
-    return Fact(kind, why, used=False, needed=False, **more)
+def _left(why: str) -> Fact:
+    return Fact("", why, used=False, needed=False)
 
 
 NO_PEERS = "gateways don't talk to each other"
@@ -61,18 +59,18 @@
     "Caps.Cancel": Fact("flag", "a hedge may call an attempt off; what others ended is called off"),
     "Caps.ConnectTimeoutUs": Fact("number", "when a connection that does not come up is given up",
                                   needed=False),
-    "Caps.CpuUsPerRequest": _left("number", "bounds the process, not its decisions"),
-    "Caps.CpuUsPerS": _left("number", "bounds the process, not its decisions"),
+    "Caps.CpuUsPerRequest": _left("bounds the process, not its decisions"),
+    "Caps.CpuUsPerS": _left("bounds the process, not its decisions"),
     "Caps.IdleCloseUs": Fact("number", "how long an idle connection is used again", needed=False),
     "Caps.MaxAttempts": Fact("whole", "further attempts, hedges", least=1),
-    "Caps.MaxOpen": _left("number", "what is beyond it never comes here"),
+    "Caps.MaxOpen": _left("what is beyond it never comes here"),
     "Caps.MaxRetryAfterUs": Fact("number", "the longest wait that a refusal advises"),
-    "Caps.MaxStreams": _left("number", "a connection carries one request at a time"),
-    "Caps.PeerMessages": _left("flag", NO_PEERS),
-    "Caps.Probes": _left("flag", "answers tell of health; nothing is probed"),
+    "Caps.MaxStreams": _left("a connection carries one request at a time"),
+    "Caps.PeerMessages": _left(NO_PEERS),
+    "Caps.Probes": _left("answers tell of health; nothing is probed"),
     "Caps.RetryAfter": Fact("flag", "whether refusals advise a wait"),
     "Caps.SecondCopies": Fact("flag", "a hedge may be a second attempt beside the first"),
-    "Classes[].AimStretch": _left("number", "the aim is taken unstretched, which is the earlier one"),
+    "Classes[].AimStretch": _left("the aim is taken unstretched, which is the earlier one"),
     "Classes[].DeadlineUs": Fact("number", "when a request ends"),
     "Classes[].Effect": Fact("text", "whether a further attempt may go", among=i.EFFECTS),
     "Classes[].Group": Fact("text", "where a further attempt of a token may go", among=i.GROUPS),
@@ -83,23 +81,23 @@
     "Classes[].SloUs": Fact("number", "the aim: signals, latecomers, hedges"),
     "Classes[].Streaming": Fact("flag", "whether answers are streams"),
     "Classes[].WindowUs": Fact("number", "how long a token may be sent again"),
-    "Clients.MarksRetry": _left("flag", "each request's own mark is read"),
-    "Dcs": _left("names", "zones are read from the list of workers"),
+    "Clients.MarksRetry": _left("each request's own mark is read"),
+    "Dcs": _left("zones are read from the list of workers"),
     "Discovery": Fact("text", "whether the list must be asked for", among=("pushed", "on_request")),
-    "FamilyInfo.CountFee": _left("number", NO_COUNTER),
-    "FamilyInfo.CountLimitUs": _left("number", NO_COUNTER),
-    "FamilyInfo.InboxPerS": _left("number", NO_PEERS),
+    "FamilyInfo.CountFee": _left(NO_COUNTER),
+    "FamilyInfo.CountLimitUs": _left(NO_COUNTER),
+    "FamilyInfo.InboxPerS": _left(NO_PEERS),
     "FamilyInfo.MeterUs": Fact("number", "periods of the estimate of whole stores, smoothing; 0: parts alone"),
-    "FamilyInfo.PostPaid": _left("flag", "an answer's own units are read where it has some"),
-    "FamilyInfo.SharedCounter": _left("flag", NO_COUNTER),
+    "FamilyInfo.PostPaid": _left("an answer's own units are read where it has some"),
+    "FamilyInfo.SharedCounter": _left(NO_COUNTER),
     "FamilyInfo.UnitsTop": Fact("number", "requests of more units are turned down", needed=False),
-    "Goal.Whole": _left("number", NO_SCORE),
-    "Goal.WorstClass": _left("number", NO_SCORE),
-    "Goal.WorstTenant": _left("number", NO_SCORE),
-    "Goal.WorstWindow": _left("number", NO_SCORE),
+    "Goal.Whole": _left(NO_SCORE),
+    "Goal.WorstClass": _left(NO_SCORE),
+    "Goal.WorstTenant": _left(NO_SCORE),
+    "Goal.WorstWindow": _left(NO_SCORE),
     "Index": Fact("whole", "the gateway's place among the others: its arc of the ring", needed=False),
-    "Kinds": _left("names", "what a worker can do is learned from its answers"),
-    "Layer": _left("number", "there is one tier"),
+    "Kinds": _left("what a worker can do is learned from its answers"),
+    "Layer": _left("there is one tier"),
     "MyZone": Fact("text", "workers of the own zone are preferred"),
     "NInstances": Fact("whole", "parts of the cold guard, arcs, latecomers", least=1),
     "Plans[].AtOnce": Fact("number", "places at once, by parts and by what others may have out"),
@@ -110,25 +108,23 @@
     "Plans[].HardRate": Fact("number", "the ceiling's rate"),
     "Plans[].MostAtOnce": Fact("number", "the quota's store"),
     "Plans[].Name": Fact("text", "the plan that a request names"),
-    "Plans[].Price": _left("number", "customers of all plans are refused alike: their quotas decide"),
+    "Plans[].Price": _left("customers of all plans are refused alike: their quotas decide"),
     "Plans[].Refill": Fact("number", "the quota's rate"),
-    "Report.Fields": _left("names", "load reports change no decision: they are older than most queues"),
-    "Report.How": _left("text", "load reports change no decision: they are older than most queues",
-                        among=("answers", "probe", "none")),
-    "Rules.AskWithinUs": _left("number", "where the list must be asked for, it is subscribed to from the start"),
+    "Report.Fields": _left("load reports change no decision: they are older than most queues"),
+    "Report.How": _left("load reports change no decision: they are older than most queues"),
+    "Rules.AskWithinUs": _left("where the list must be asked for, it is subscribed to from the start"),
     "Rules.ColdFrom": Fact("number", "what a worker can do right after its start", most=1.0),
     "Rules.DrainGraceUs": Fact("number", "how long after news of a drain written requests may go out",
                                needed=False),
     "Rules.FallUs": Fact("number", "the cold guard's span"),
-    "Rules.GraceToAnswerUs": _left("number", "requests end before their clients' time does"),
+    "Rules.GraceToAnswerUs": _left("requests end before their clients' time does"),
     "Rules.OverloadFactor": Fact("number", "what a cold worker bears", least=1.0),
     "Rules.RampTimeUs": Fact("number", "how long a worker counts as cold"),
     "TickUs": Fact("number", "how long before its time a request is ended"),
-    "Tiers": _left("names", "there is one tier"),
-    "WeightKind": _left("text", "sizes are read next to the mean of their list, whatever they mean",
-                        among=("none", "nominal", "rough", "live")),
-    "Workload": _left("text", "a name"),
-    **{f"Tariffs.{name}": _left("number", NO_SCORE) for name in (
+    "Tiers": _left("there is one tier"),
+    "WeightKind": _left("sizes are read next to the mean of their list, whatever they mean"),
+    "Workload": _left("a name"),
+    **{f"Tariffs.{name}": _left(NO_SCORE) for name in (
         "Connection", "CrossZone", "Discovery", "Handshake", "LateFail", "Moves", "Origin", "Peer", "Probe", "Waste")},
 }
 
@@ -155,19 +151,14 @@
         entries = facts.get(name, [])
         if not isinstance(entries, list) or not all(isinstance(each, Mapping) for each in entries):
             raise ValueError(f"{name}: must be a list of objects, not {entries!r}")
-    seen: dict[str, int] = {}
+    seen: Counter[str] = Counter()
     for key, where, value in stated(facts):
-        seen[key] = seen.get(key, 0) + 1
+        seen[key] += 1
         fact = FACTS.get(key)
         if fact is not None and fact.used and (wrong := fact.wrong(value)):  # what nothing follows can't be wrong
             raise ValueError(f"{where}: {wrong}, not {value!r}")
     for key, fact in FACTS.items():
         head, listed, _ = key.partition("[].")
         there = len(facts.get(head, ())) if listed else 1
-        if fact.needed and seen.get(key, 0) < there:
+        if fact.needed and seen[key] < there:
             raise ValueError(f"{key}: missing")
-
-
-def unknown(facts: Mapping[str, Any]) -> list[str]:
-    """Keys that are stated and not known, each once, as they stand in `FACTS`."""
-    return list(dict.fromkeys(key for key, _, _ in stated(facts) if key not in FACTS))
--- a/oliveloft/gatekeeper/config.py
+++ b/oliveloft/gatekeeper/config.py
@@ -47,6 +47,11 @@
 
 def load(env: Mapping[str, str]) -> Config:
     """The configuration that the environment names."""
+    return parse(read(env), env)
+
+
+def read(env: Mapping[str, str]) -> dict[str, Any]:
+    """The JSON object that the environment names, not checked yet."""
     path = env.get("PROXY_CONFIG")
     if not path:
         raise ConfigError("PROXY_CONFIG: not set")
@@ -57,7 +62,7 @@
         raise ConfigError(f"PROXY_CONFIG: cannot read {path}: {error}") from error
     if not isinstance(raw, dict):
         raise ConfigError(f"PROXY_CONFIG: {path} holds no JSON object")
-    return parse(raw, env)
+    return raw
 
 
 def parse(raw: dict[str, Any], env: Mapping[str, str]) -> Config:
@@ -74,9 +79,6 @@
         raise ConfigError(f"settings: missing key {error}") from error
     except (TypeError, ValueError, AttributeError, IndexError) as error:
         raise ConfigError(f"settings: {error}") from error
-    for key, value in (("DrainGraceUs", grace), ("ConnectTimeoutUs", connect), ("IdleCloseUs", idle)):
-        if not 0 <= value < float("inf"):
-            raise ConfigError(f"settings.{key}: must be at least 0, not {value!r}")
     known = raw.get("known")
     if known is not None and not isinstance(known, dict):
         raise ConfigError("known: no object")
--- a/oliveloft/gatekeeper/explain.py
+++ b/oliveloft/gatekeeper/explain.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from micagate.facts import FACTS, stated
-from oliveloft.gatekeeper.config import ConfigError, load
+from oliveloft.gatekeeper.config import ConfigError, parse, read
 
 UNKNOWN = "not known here: nothing follows it"
 
@@ -22,9 +22,10 @@
 def main(path: str, as_json: bool) -> int:
     """Print them; 2 where the file cannot be used, with what is wrong."""
     try:
-        load({"PROXY_CONFIG": path, "PROXY_LISTEN": "127.0.0.1:0", "PROXY_DISCOVERY": "127.0.0.1:1"})
-        with open(path, encoding="utf-8") as file:
-            told = rows(json.load(file)["settings"])
+        env = {"PROXY_CONFIG": path, "PROXY_LISTEN": "127.0.0.1:0", "PROXY_DISCOVERY": "127.0.0.1:1"}
+        raw = read(env)
+        parse(raw, env)
+        told = rows(raw["settings"])
     except ConfigError as error:
         print(f"oliveloft: {error}", file=sys.stderr)
         return 2
--- a/tests/gatekeeper/test_settings.py
+++ b/tests/gatekeeper/test_settings.py
@@ -6,12 +6,13 @@
 
 import pytest
 
-from micagate.facts import FACTS, stated, unknown
+from micagate.facts import FACTS, stated
 from oliveloft.cli import main
 from oliveloft.gatekeeper import config
+from oliveloft.gatekeeper.explain import UNKNOWN, rows
 
 EXAMPLE = Path(__file__).parents[2] / "deploy" / "example.json"
-USUAL = {"flag": False, "number": 0, "whole": 1, "text": "x", "names": ["x"]}
+USUAL = {"flag": False, "number": 0, "whole": 1, "text": "x", "": "x"}
 
 
 def example():
@@ -54,7 +55,7 @@
     if fact.kind == "number":
         return value / 2 if value else 1.5
     return {"flag": lambda: not value, "whole": lambda: value + 1, "text": lambda: value + "y",
-            "names": lambda: [*value, "y"]}[fact.kind]()
+            "": lambda: [value]}[fact.kind]()
 
 
 def parse(raw):
@@ -125,7 +126,8 @@
     raw["settings"]["Caps"]["Novel"] = {"deep": [1]}
     raw["settings"]["Plans"][0]["Colour"] = "red"
     assert parse(raw) == before
-    assert unknown(raw["settings"]) == ["Caps.Novel.deep", "Plans[].Colour"]
+    assert [row["setting"] for row in rows(raw["settings"]) if row["follows"] == UNKNOWN] == [
+        "Caps.Novel.deep", "Plans[0].Colour"]
 
 
 def test_the_command_says_what_follows_each(tmp_path, capsys):
