Tell of arrivals at the simulated fleet in one place, and call formulas that were there

Found in a read of the change: rig/cluster.py, rig/pressed.py and the hard cases each wrapped a worker's load to hear what came to it, and again after each restart; two of them summed how requests ended; rig/pressed.py had a worker's warmth and the seconds of a unit of its own, and counted all arrivals anew for each span; estimates/metering.py reckoned own sends between two moments twice. The fleet now tells of arrivals and ends itself, and the others call what there is.

--- a/micagate/estimates/metering.py
+++ b/micagate/estimates/metering.py
@@ -99,8 +99,7 @@
         misfits, told = [], False
         for guess in range(GUESSES):
             end = out - guess * self._step
-            upto, since = bisect_right(times, end), bisect_right(times, end - self.period)
-            own = (sums[upto - 1] if upto else 0.0) - (sums[since - 1] if since else 0.0)
+            own = _between(times, sums, end - self.period, end)
             told = told or own > 0
             misfits.append(min(1.0, max(0.0, own - most) / scale))
         if not told:
@@ -113,6 +112,12 @@
             self.late = self._step * sum(near) / len(near)
 
 
+def _between(times: Sequence[float], sums: Sequence[float], begin: float, end: float) -> float:
+    """Units sent on after `begin` and up to `end`, of sends told as to `Meter.weigh`."""
+    upto, since = bisect_right(times, end), bisect_right(times, begin)
+    return (sums[upto - 1] if upto else 0.0) - (sums[since - 1] if since else 0.0)
+
+
 def _near(misfits: Sequence[float], most: int) -> range | None:
     """The places next to each other, counted round, that fit nearly as well as the best; None if not so few.
 
@@ -229,7 +234,7 @@
         if out is None or end is None or self.told is not None and end <= self.told + period / 2:
             return
         begin, level = end - period, self._base
-        mine = self._between(begin, end)
+        mine = _between(self._times, self._sums, begin, end)
         total = max(mine, used * self.rate * period)
         passed = period if self.told is None else end - self.told
         if self.told is not None and begin > self.told + period / 2:  # it sent nothing for so long
@@ -287,11 +292,6 @@
         del self._times[:old], self._sums[:old]
         self._sums = [upto - less for upto in self._sums]
 
-    def _between(self, begin: float, end: float) -> float:
-        """Units sent on here after `begin` and up to `end`."""
-        upto, since = bisect_right(self._times, end), bisect_right(self._times, begin)
-        return (self._sums[upto - 1] if upto else 0.0) - (self._sums[since - 1] if since else 0.0)
-
     def _since(self, begin: float, end: float = math.inf) -> Iterator[tuple[float, float]]:
         """The own sends after `begin` and up to `end`: when, and units."""
         first = bisect_right(self._times, begin)
--- a/rig/cluster.py
+++ b/rig/cluster.py
@@ -55,20 +55,10 @@
             self.demands.append(Demands(0.0))
             self.clock.after(self.random.expovariate(self.rates[n]), self._ask, n)
         self.sent: list[tuple[float, str, float]] = []  # when, where, seconds of work
-        for name in self.fleet.places:
-            self._count(name)
+        self.fleet.arrived = lambda now, name, work, done: self.sent.append((now, name, work))
         self.fleet.tell(whole=True)
         self.clock.after(EVERY, self._exchange)
 
-    def _count(self, name: str) -> None:
-        place = self.fleet.places[name]
-        arrive = place.load.arrive
-
-        def counted(now: float, work: float) -> float | None:
-            self.sent.append((now, name, work))
-            return arrive(now, work)
-        place.load.arrive = counted  # type: ignore[method-assign]
-
     def _ask(self, n: int) -> None:
         if self.rates[n] > 0:
             self.entrances[n].ask(self.klass, self.plan, "c", spread=1)
@@ -94,7 +84,6 @@
     def restart(self, name: str, capacity: Capacity | None = None) -> None:
         """A worker is replaced by a cold one."""
         self.fleet.restart(name, capacity)
-        self._count(name)
 
     def become(self, name: str, capacity: Capacity) -> None:
         """A worker's capacity changes while it runs, unannounced."""
@@ -112,7 +101,4 @@
     @property
     def ends(self) -> Counter[str]:
         """How all requests so far have ended."""
-        total: Counter[str] = Counter()
-        for entrance in self.entrances:
-            total.update(entrance.tally.ends)
-        return total
+        return self.fleet.ends
--- a/rig/fleet.py
+++ b/rig/fleet.py
@@ -12,6 +12,7 @@
 from rig.simulation import Clock
 
 Handle = Callable[[float, i.Event], list[i.Action]]
+UNIT = 0.02  # seconds of a core that a unit takes, on average
 
 
 @dataclass(slots=True)
@@ -47,6 +48,16 @@
         self.places = {name: Place(Load(capacity), zones[n % len(zones)])
                        for n, (name, capacity) in enumerate(sorted(capacities.items()))}
         self.entrances: list[Entrance] = []
+        # Told of all that comes to a worker: when, where, seconds of work, and when it is done or None if full.
+        self.arrived: Callable[[float, str, float, float | None], object] = lambda *_: None
+
+    @property
+    def ends(self) -> Counter[str]:
+        """How all requests so far have ended, at all entrances."""
+        total: Counter[str] = Counter()
+        for entrance in self.entrances:
+            total.update(entrance.tally.ends)
+        return total
 
     def entry(self, name: str) -> i.WorkerEntry:
         """A worker's line of the list."""
@@ -123,8 +134,9 @@
             fleet.clock.after(fleet.way, self._outcome, name, number, i.UNREACHABLE, now)
             return
         request, deadline = self._asked[name]
-        work = fleet.random.gammavariate(1 / fleet.work_cv ** 2, fleet.work_cv ** 2) * 0.02 * request.units
+        work = fleet.random.gammavariate(1 / fleet.work_cv ** 2, fleet.work_cv ** 2) * UNIT * request.units
         done = place.load.arrive(now + fleet.way, work)
+        fleet.arrived(now + fleet.way, worker, work, done)
         if done is None:
             fleet.clock.after(2 * fleet.way, self._outcome, name, number, i.FULL, now)
         elif not place.hung and fleet.random.random() >= place.lost:
--- a/rig/pressed.py
+++ b/rig/pressed.py
@@ -9,16 +9,16 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass, replace
 from random import Random
 
 from micagate import Gateway
 from micagate import interface as i
-from rig.capacity import Capacity
-from rig.fleet import Entrance, Fleet
+from rig.capacity import Capacity, Load
+from rig.fleet import UNIT, Entrance, Fleet
 from rig.simulation import Clock
 
-UNIT = 0.02  # seconds of a core that a unit takes (`rig.fleet`)
 SPAN = 2.0  # in which the bound may move work about
 
 
@@ -74,7 +74,7 @@
 
 def bound(kind: Kind, asked: list[tuple[float, int, int]]) -> float:
     """The worth that the true capacity has room for, span by span; all workers count as warm and never away."""
-    total = 0.0
+    total, counts = 0.0, Counter((int(at / SPAN), which) for at, which, _ in asked)
     dear = sorted(range(len(kind.classes)), key=lambda n: -kind.classes[n][0].importance / kind.classes[n][2])
     for span in range(int(kind.seconds / SPAN) + 1):
         start = span * SPAN
@@ -82,8 +82,7 @@
         room = kind.workers * kind.capacity.cores * (SPAN - slow * (1 - kind.slow[2]))
         for n in dear:
             klass, _, units = kind.classes[n]
-            count = sum(start <= at < start + SPAN and which == n for at, which, _ in asked)
-            fits = min(float(count), room / (units * UNIT))
+            fits = min(float(counts[span, n]), room / (units * UNIT))
             room -= fits * units * UNIT
             total += fits * klass.importance
     return total
@@ -102,18 +101,11 @@
     breaks = 0
     drained: dict[str, float] = {}
 
-    def watch(name: str) -> None:
-        load = fleet.places[name].load
-        arrive = load.arrive
-
-        def watched(now: float, work: float) -> float | None:
-            nonlocal breaks
-            breaks += name in drained and now > drained[name] + 0.5
-            done = arrive(now, work)
-            if done is not None:
-                begun.append((now, name, work))
-            return done
-        load.arrive = watched  # type: ignore[method-assign]
+    def arrived(now: float, name: str, work: float, done: float | None) -> None:
+        nonlocal breaks
+        breaks += name in drained and now > drained[name] + 0.5
+        if done is not None:
+            begun.append((now, name, work))
 
     def drain(name: str) -> None:
         fleet.places[name].up = False
@@ -128,7 +120,6 @@
         fleet.places[name].up = True
         cold.append((name, clock.now))
         fleet.restart(name, pace())
-        watch(name)
 
     def pace() -> Capacity:
         slow = kind.slow[0] <= clock.now < kind.slow[1]
@@ -138,8 +129,7 @@
         for place in fleet.places.values():
             place.load.capacity = pace()
 
-    for name in names:
-        watch(name)
+    fleet.arrived = arrived
     for n, name in enumerate(names):
         if (at := kind.release[0] + n * kind.release[1]) < kind.seconds - 2.0:
             clock.at(at, drain, name)
@@ -169,8 +159,7 @@
         start = end - kind.fall_time
         if start < started:
             continue
-        warmth = c.cold_from + (1 - c.cold_from) * (end - started) / c.ramp  # its best within the span
-        if sum(work for at, work in times if start < at <= end) > (
-                kind.overload_factor * c.cores * warmth * kind.fall_time):
+        best = kind.overload_factor * c.cores * Load(c, started).warmth(end)  # within the span
+        if sum(work for at, work in times if start < at <= end) > best * kind.fall_time:
             return True
     return False
--- a/tests/decisions/test_hard_cases.py
+++ b/tests/decisions/test_hard_cases.py
@@ -16,31 +16,22 @@
 class Played:
     """Two gateways before eight workers of two cores, in two rooms, at a steady load of single units (20 ms)."""
 
-    def __init__(self, load=0.5, seed=1, **changes):
+    def __init__(self, load=0.5, seed=1):
         self.random, self.clock = Random(seed), Clock()
-        self.capacity = Capacity(cores=2, queue=24)
-        self.fleet = Fleet(self.clock, Random(seed + 1), dict.fromkeys(WORKERS, self.capacity), zones="ab")
-        settings = i.Settings((i.RequestClass("read", aim=0.4, deadline=1.0),), (i.Plan("free"),), **{
-            "gateways": 2, "zone": "a", "max_attempts": 3, "can_cancel": True, **changes})
-        self.gates = [Gateway(settings, seed * 10 + n, 0.0) for n in range(2)]
-        self.entrances = [Entrance(self.fleet, gate.handle, settings, f"g{n}") for n, gate in enumerate(self.gates)]
+        self.fleet = Fleet(self.clock, Random(seed + 1), dict.fromkeys(WORKERS, Capacity(cores=2, queue=24)),
+                           zones="ab")
+        settings = i.Settings((i.RequestClass("read", aim=0.4, deadline=1.0),), (i.Plan("free"),), gateways=2,
+                              zone="a", max_attempts=3, can_cancel=True)
+        for n in range(2):
+            Entrance(self.fleet, Gateway(settings, seed * 10 + n, 0.0).handle, settings, f"g{n}")
         self.rate = load * len(WORKERS) * 2 / 0.02
         self.sent = Counter()
-        for name, place in self.fleet.places.items():
-            self._count(name, place.load)
+        self.fleet.arrived = lambda now, name, work, done: self.sent.update((name,))
         self.fleet.tell(whole=True)
         self.clock.after(0.0, self._ask)
 
-    def _count(self, name, load):
-        arrive = load.arrive
-
-        def counted(now, work):
-            self.sent[name] += 1
-            return arrive(now, work)
-        load.arrive = counted
-
     def _ask(self):
-        self.random.choice(self.entrances).ask("read", "free", "c", spread=2)
+        self.random.choice(self.fleet.entrances).ask("read", "free", "c", spread=2)
         self.clock.after(self.random.expovariate(self.rate), self._ask)
 
     def speed(self, speed):
@@ -49,18 +40,12 @@
 
     def over(self, seconds):
         """Let time pass: the share of what ended that was served in its aim, and what each worker got."""
-        before, sent = self.ends(), Counter(self.sent)
+        before, sent = self.fleet.ends, Counter(self.sent)
         self.clock.run(self.clock.now + seconds)
-        ended = self.ends()
+        ended = self.fleet.ends
         ended.subtract(before)
         return ended["served"] / ended.total(), {name: self.sent[name] - sent[name] for name in WORKERS}
 
-    def ends(self):
-        total = Counter()
-        for entrance in self.entrances:
-            total.update(entrance.tally.ends)
-        return total
-
 
 def test_when_every_worker_is_slower_at_once_none_is_put_out_and_nothing_swings():
     played = Played(load=0.35)
--- a/tests/rig/test_pressed.py
+++ b/tests/rig/test_pressed.py
@@ -6,7 +6,8 @@
 
 from benchmarks.deployments import PRESSED
 from micagate.fleet import Fleet
-from rig.pressed import UNIT, arrivals, bound, fell, play
+from rig.fleet import UNIT
+from rig.pressed import arrivals, bound, fell, play
 
 SECOND = PRESSED["second"]
 
