Ask discovery for what came since, in turns by place, and again within a growing bound

After the mass kill one gatekeeper of forty heard of the release; the others went on sending to draining workers (800 attempts turned away as full in 9 s). Cause: Discovery.failed and start (oliveloft/discovery/watch.py) forgot the index, so that each repeat was the dearest call there is, and repeated after 0.1 to 1 s. With forty of them the queue stayed as long as callers wait: each call was given up just before its turn, and made again. Tried first and not enough: keeping the index with full jitter up to 4 s (16 of 40 as before; the queue must first drain). Ruled out: the agent (it answers in 3 ms when it answers), our patience of 1.5 s (no call ended by it), lost connections (none). Change: the watch begins at the index of the list it holds; a failed call keeps it; only an answer that cannot be used, or one with an earlier version, makes it ask for the whole list. Where calls load discovery, each gatekeeper makes its first call in its own place of 0.15 s each, and repeats at random within a bound that starts at the time of a call of each and doubles twice.

--- a/oliveloft/gatekeeper/process.py
+++ b/oliveloft/gatekeeper/process.py
@@ -61,11 +61,14 @@
         if len(workers):
             server.able()
 
+    index = None
     if config.known is not None:
         try:
             known = News({"index": 0, **config.known}, offset)
             known.whole = True
             tell(known)
+            if "index" in config.known and known.endpoints and not known.skipped:
+                index = known.index  # only what came since is asked for: whole lists are dear at a mass restart
         except ValueError as error:
             log.warning("known: %s; starting without", error)
     stop = asyncio.Event()
@@ -84,7 +87,9 @@
         listener = await loop.create_server(lambda: Client(server), *config.listen, backlog=BACKLOG)
     except OSError as error:
         raise ConfigError(f"listen: {error.strerror or error}") from error
-    discovery = Discovery(loop, config.discovery, offset, tell)
+    loading = config.settings.gateways if config.settings.must_subscribe else 1
+    discovery = Discovery(loop, config.discovery, offset, tell, index, loading, config.settings.number or 0,
+                          config.seed)
     discovery.start()
 
     def reload() -> None:
