Judge slivers of quotas by the whole store; keep to workers that are fit, among many

Causes: Quotas.inside (a part of 4/30 units is empty for half a minute after one try, Whole.heard wants a reading that a refused customer never brings, and control took the credit away); Fleet._slow_all_over and Throttle (five out at seven requests a second pass for a queue, three signals for overload); Fleet.arc and _has_room (an arc of eight held two or three workers that might be sent to, a cold one's room was divided by all gateways); Quotas._refill (even parts). Ruled out: processor time, descriptors, full connection tables, lost answers outside the lost zone. Arcs have a module of their own.

--- a/micagate/estimates/metering.py
+++ b/micagate/estimates/metering.py
@@ -25,12 +25,16 @@
 FIRM = 6  # readings that had something of the own sends in them, before a lateness is believed
 FRESH, PAST = 1.0, 0.5  # seconds of own sends that tell of a customer's rate now, and what the past weighs
 STEADY, USUAL = 3.0, 20.0  # seconds over which its rate, and its usual rate, are averaged
+RUMOUR = 6.0  # seconds in which the latter is forgotten where nothing more is heard and the part is a sliver
 UNSEEN, FIRST = 0.5, 2.0  # of the quota: the use taken for granted before any reading, for so many seconds
 REMEMBER = 8.0  # seconds of metered periods over which a gateway's share is averaged
 CROWD = 0.4  # attempts' times that the past weighs in how many are out now
 EVEN = 0.29  # of the burst: the deviation of a level of which nothing is known
-LITTLE = 3.0  # tries: with no more than that in the store, the others hold back too
+LITTLE = 3.0  # tries: with no more than that in the store, the others hold back too ...
+TELLING = 4.0  # ... as far as so many gateways do; more of them, each with a sliver, know too little to
+SLIVER, FEW = 2.0, 3  # requests: a part with less says little by itself, but among so few gateways
 STALE = 8.0  # seconds after which a reading tells no more of what a store holds
+LATENESS = 0.8  # seconds by which readings are taken to be late where that is not known and must do
 UNIT_LEARN = 0.1  # weight of a try in the average units
 UNSURE = 0.5  # of what the others are expected to have sent: its deviation beside chance
 SAMPLED = 4  # once it is believed, one reading in so many goes on to weigh it
@@ -186,6 +190,10 @@
             return
         fade, old = math.exp(-passed / FRESH), math.exp(min(0.0, max(self.at, self._due) - now) / STEADY)
         self._use, self._span = self._use * old, self._span * old
+        if self.sliver():  # what was once heard of a customer that then is refused would hold for ever
+            past = math.exp(-passed / RUMOUR)
+            self._long = UNSEEN * self.rate * FIRST * (1 - past) + self._long * past
+            self._longer = FIRST * (1 - past) + self._longer * past
         others = self.others(self._own * (1 - fade) * FRESH / passed)
         self._own *= fade
         self.level, self.at = self._after(self.level, passed, others), now
@@ -223,7 +231,12 @@
         return self.level - DOUBTS[int(sure * 20)] * min(error, EVEN * self.burst)
 
     def reading(self, now: float, used: float, meter: Meter) -> None:
-        """A reading of the meter, as a share of the rate: reckon in the period that it tells of, once."""
+        """A reading of the meter, as a share of the rate: reckon in the period that it tells of, once.
+
+        Where the part is a sliver, even if the meter's times are not known: then readings are taken to be
+        usually late. Guards against a customer that is met so seldom that nothing is ever learned. Harm: a
+        period's own sends are taken for others', or the other way round.
+        """
         if self._read is not None and self._read[0] != used:
             meter.changed(self._read[1], now)
         self._read = used, now
@@ -231,6 +244,9 @@
             self._weighed = out
             meter.weigh(now, used, self.rate, self._times, self._sums)
         end, period = meter.end(now), meter.period
+        if end is None and period and self.sliver():
+            out = now - period / 2 if out is None else out
+            end = out - LATENESS
         if out is None or end is None or self.told is not None and end <= self.told + period / 2:
             return
         begin, level = end - period, self._base
@@ -260,6 +276,7 @@
             return level
         low, flow = LITTLE * self.unit, self.rate - others * self._kept
         if flow < 0:
+            low *= TELLING / max(TELLING, self.spread) if self.sliver() else 1.0
             if level > low and (until := (level - low) / -flow) < passed:
                 level, passed = low, passed - until
             elif level > low:
@@ -268,6 +285,10 @@
             return max(level, min(low, level + flow * passed))
         return min(self.burst, level + flow * passed)
 
+    def sliver(self) -> bool:
+        """Whether so many gateways share the customer that the part of each holds hardly a request."""
+        return self.spread > FEW and self.burst < SLIVER * self.unit * self.spread
+
     def places(self, out: int, took: float, most: int) -> float:
         """The chance that fewer than `most` attempts are out everywhere, where `out` are here.
 
--- a/micagate/estimates/recent.py
+++ b/micagate/estimates/recent.py
@@ -3,9 +3,15 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Sequence
 
 SPELL = 2.0  # seconds in which an answer is forgotten
 BRISK = 0.2  # of the aim: pooled answer time under which answers are brisk
+LOW_SHARE, HIGH_SHARE = BRISK, 0.4  # of the aim: pooled answer time at which none, and all, are refused
+SELDOM = 2.0  # times as much where a gateway meets each worker seldom: a bad one or two weigh so much there
+OLD_SHARE, YOUNG_SHARE = 0.15, 0.05  # of the aim: a usual answer; mean age under which what is out is a burst
+PRIOR = 1.0  # usual answers mixed in where few are pooled
+SIGMAS = 2.0  # deviations by which what is out at a gateway with little traffic may be up by chance
 
 
 class Recent:
@@ -39,3 +45,27 @@
         fleet is overloaded and the rest is not, silence starts control only by what comes late.
         """
         return self._took < BRISK * self._aims and self._missed <= self._aims
+
+    def pressed(self, now: float, waiting: Sequence[tuple[float, float]], aim: float, new: bool,
+                seldom: bool) -> float:
+        """The share to refuse: 0 or less where none is, 1 or more where all are.
+
+        `waiting`: when each that is out was sent, and its aim; `aim`: the shortest; `new`: no pace is known yet,
+        so that what is out tells by its age alone; `seldom`: each worker is met seldom.
+
+        All answers, whatever worker they came from, speak together by the share of their aims that they took,
+        and those still out by their age; some usual ones are mixed in, so that one or two say little. A lost
+        answer counts once, as one that took its aim, if others are slow. Harm: it hears seconds late.
+        """
+        (answered, aims, missed), usual = self.at(now), PRIOR * aim
+        ages = sum(now - sent for sent, _ in waiting)
+        lost = 0.0 if self.lossy() else missed
+        out = sum(aim for _, aim in waiting)
+        share = (OLD_SHARE * usual + answered + lost + ages) / (
+            usual + aims + lost + (out if new else 0.0))
+        usually = max(1.0, answered / SPELL)
+        chance = SIGMAS * math.sqrt(usually) if seldom else 0.0
+        crowd = (1 + len(waiting)) / (1 + usually + chance)
+        if new or ages < YOUNG_SHARE * out:
+            crowd = min(1.0, crowd)  # much out but all young: a burst on idle workers
+        return (share * crowd / (SELDOM if seldom else 1.0) - LOW_SHARE) / (HIGH_SHARE - LOW_SHARE)
--- a/micagate/fleet.py
+++ b/micagate/fleet.py
@@ -6,30 +6,24 @@
 from random import Random
 
 from micagate import interface as i
-from micagate.estimates.recent import BRISK, SPELL, Recent
+from micagate.arcs import TOGETHER, Arcs
+from micagate.estimates.recent import Recent
 from micagate.estimates.tails import Tails
 from micagate.shares import Shares, worker_key
-from micagate.worker import Worker
+from micagate.worker import BACKOFF, LONGEST_BACKOFF, Worker
 from micagate.workload import Workload, sent_to
 
 # All ours, since the design leaves the choice of a worker open.
 LEARN = 0.15  # weight of a new answer in what was learned
-FORGET = 10.0  # seconds in which an old judgement of a worker's speed fades
 FAR = 1.1  # a worker elsewhere must be this much better than one in the own zone
-NEAR = 8  # workers that a gateway among many keeps to: each is met every few seconds
 LOOK, LOOKS = 16, 3  # workers of a larger fleet that a choice looks at, and how often before it gives up
 STALL = 4.0  # times the usual answer time after which silence counts as a stall
-BACKOFF, LONGEST_BACKOFF = 0.25, 4.0  # seconds before the first and any later trial of a failing worker
 RECENT = 2.0  # seconds over which the fleet's pace is averaged
 LATE_SHARE, OLD_SHARE = 0.5, 0.15  # of the aim: expected answer time and mean age out of a sure latecomer
 ENOUGH = 10.0  # attempts out or just answered that Little's law needs to mean something
-LOW_SHARE, HIGH_SHARE = BRISK, 0.4  # of the aim: pooled answer time at which none, and all, are refused
-YOUNG_SHARE = 0.05  # of the aim: mean age under which what is out is a burst, not a queue
-PRIOR = 1.0  # usual answers mixed in where few are pooled
-SPARE = 2.0  # what a warm worker could take over what it gets, at the least (cold guard with many gateways)
-TOGETHER = 3.0  # attempts at a worker that all gateways together may always have (latecomer and cold guards)
+KEEPS_ENOUGH = 30.0  # ... of a gateway that keeps to few of many workers: by chance it has several out
+SPARE = 1.5  # what a warm worker could take over what it gets, at the least (cold guard with many gateways)
 LOSSY, LOSSIER = 0.3, 4.0  # share of answers that a worker loses, and times what another loses: it loses them
-FAILS = 3  # errors or time-outs in a row that make a worker suspect
 
 
 class Fleet:
@@ -47,8 +41,7 @@
         self._answers = 0
         self._surveyed_at = now
         self._workload: Workload | None = None  # counted once a survey has asked for it
-        self._ring: list[Worker] = []  # the usable ones by rank: one ring for all gateways with numbers
-        self._few = 0  # so many from the own place on are the own few
+        self.arcs = Arcs(settings.number, settings.gateways)
         self._pooled: tuple[float, list[Worker]] | None = None  # the last pool, until anything changes
         self._aim = min(c.aim for c in settings.classes)
 
@@ -75,15 +68,14 @@
                 self._leave(known)
             elif not known.usable:
                 known.usable = True
-                self._ring.insert(sum(w.rank < known.rank for w in self._ring), known)
-        self.serving = len(self._ring)
-        self._few = min(self.serving, max(NEAR, math.ceil(TOGETHER * self.serving / self._s.gateways)))
+                self.arcs.add(known)
+        self.serving = len(self.arcs.ring)
         self._pooled = None
 
     def _unlist(self, worker: Worker) -> None:
         if worker.usable:
             worker.usable = False
-            self._ring.remove(worker)
+            self.arcs.ring.remove(worker)
 
     def _leave(self, worker: Worker) -> None:
         """Give a worker no more; forget it if nothing is out there."""
@@ -132,8 +124,8 @@
 
     def _healthy(self, now: float, worker: Worker) -> bool:
         if not worker.out:
-            return not worker.fails or now >= worker.until
-        if worker.fails and (now < worker.until or self._queued(now, worker)):
+            return not worker.suspect() or now >= worker.until
+        if worker.suspect() and (now < worker.until or self._queued(now, worker)):
             return False  # one trial at a time
         return not self._stalled(now, worker)
 
@@ -147,6 +139,8 @@
         if (warm := self._warmth(now, worker)) is None:
             return True
         over, _ = self._shares.over(now, worker_key(worker.entry.worker), self._s.gateways)
+        if self.arcs.keeps and over == self._s.gateways:  # only those send to it in whose arcs it is
+            over = max(1.0, over * self.arcs.overlap())
         cap = (self._s.overload_factor - 1) * warm * self._rate(now) * self._s.fall_time
         alone = (self._s.overload_factor - 1) * warm * self._s.fall_time / self._brisk / over
         if over > self._s.gateways:
@@ -170,7 +164,7 @@
     def _rate(self, now: float) -> float:
         """What a warm worker serves this gateway in a second."""
         self._fade(now)
-        return self._done / RECENT / max(1, self.serving)
+        return self._done / RECENT / max(1, self.arcs.fit if self.arcs.keeps else self.serving)
 
     def _warmth(self, now: float, worker: Worker) -> float | None:
         """The share of its capacity that a worker has which started lately; None for a warm one."""
@@ -195,8 +189,12 @@
         return self._workload.take(now, {name: len(worker.out) for name, worker in self.workers.items()})
 
     def _slow(self, now: float, worker: Worker) -> float:
-        """A worker's answer time over the usual; an old judgement fades, so that it is tried again."""
-        return 1.0 + (worker.slow - 1.0) * math.exp((worker.learned - now) / FORGET)
+        """A worker's answer time over the usual, and what tells of it sooner where it is met seldom."""
+        slow = worker.slowness(now)
+        if self.arcs.keeps and (queued := self._queued(now, worker)):  # it tells before its answer
+            slow = max(slow, (now - queued[0]) / max(self._usual.values(), default=math.inf))
+        # What a cold one has left of its capacity is learned too late by who meets it seldom.
+        return slow / (self._warmth(now, worker) or 1.0) if self.arcs.keeps else slow
 
     def _fade(self, now: float) -> None:
         self._done *= math.exp((self._done_at - now) / RECENT)
@@ -205,7 +203,8 @@
     def _pool(self, now: float) -> list[Worker]:
         """The workers to choose from, as they were last looked at."""
         if self._pooled is None or self._pooled[0] != now:
-            self._pooled = now, self._well(now, self._look(self._few))
+            span = now if self.arcs.keeps else None
+            self._pooled = now, self._well(now, self._look(self.arcs.few, now=span))
         return self._pooled[1]
 
     def _well(self, now: float, looked: list[Worker]) -> list[Worker]:
@@ -213,22 +212,16 @@
         good = [w for w in looked if self._healthy(now, w)]
         return good if 2 * len(good) >= len(looked) else looked
 
-    def arc(self, span: int) -> list[Worker]:
-        """So many usable workers, from the gateway's own place on the ring on (Twitter's aperture).
-
-        Places are even: each worker is in as many arcs as any other, or in one more.
-        """
-        at = (self._s.number or 0) * self.serving // self._s.gateways % max(1, self.serving)
-        return (self._ring[at:] + self._ring[:at])[:span]
-
-    def _look(self, span: int, zone: str | None = None, cell: int | None = None) -> list[Worker]:
+    def _look(self, span: int, zone: str | None = None, cell: int | None = None,
+              now: float | None = None) -> list[Worker]:
         """Usable workers to look at: all of a small fleet, a few of the first `span` of a large one.
 
         Guards against requests that cost more the larger the fleet. They stand anywhere, any distance apart:
         a few in a row would always meet the same others, and favour those with bad ones. Harm: the best of
         all is missed.
         """
-        ring = self.arc(span)
+        ring = self.arcs.of(span, None if now is None else lambda w: (
+            self._warmth(now, w) is None and self._healthy(now, w)))
         if zone is not None or cell is not None:
             ring = [w for w in ring if zone in (None, w.entry.zone) and cell in (None, w.entry.cell)]
         elif span == self.serving <= LOOK:
@@ -257,7 +250,7 @@
         pool = self._pool(now)
         queued = [self._queued(now, w) for w in pool]
         out = sum(map(len, queued))
-        done = self._done * min(1.0, LOOK / max(1, self._few))  # of those that were looked at
+        done = self._done * min(1.0, LOOK / max(1, self.arcs.few))  # of those that were looked at
         if out <= len(pool) * min(1.0, TOGETHER / self._s.gateways):
             return False
         age = now - sum(map(sum, queued)) / out
@@ -265,28 +258,12 @@
 
     def few(self) -> bool:
         """Whether too little is out and answered to measure a queue by."""
-        return len(self._waiting) + self._done < ENOUGH
+        return len(self._waiting) + self._done < (KEEPS_ENOUGH if self.arcs.keeps else ENOUGH)
 
     def _slow_all_over(self, now: float) -> float:
-        """The share to refuse, with too few out for Little's law: what the last answers say, pooled.
-
-        All answers, whatever worker they came from, speak together by the share of their aims that they took,
-        and those still out by their age; some usual ones are mixed in, so that one or two say little. A lost
-        answer counts once, as one that took its aim, if others are slow. Harm: it hears seconds late.
-        """
-        (answered, aims, missed), usual = self.recent.at(now), PRIOR * self._aim
-        waiting = [(sent, aim) for sent, aim, worker in self._waiting.values()
-                   if not self._gone(now, worker, sent)]
-        ages = sum(now - sent for sent, _ in waiting)
-        lost = 0.0 if self.recent.lossy() else missed
-        out = sum(aim for _, aim in waiting)
-        new = self._answers < ENOUGH  # no pace is known yet: what is out tells by its age alone
-        share = (OLD_SHARE * usual + answered + lost + ages) / (
-            usual + aims + lost + (out if new else 0.0))
-        crowd = (1 + len(waiting)) / (1 + max(1.0, answered / SPELL))
-        if new or ages < YOUNG_SHARE * out:
-            crowd = min(1.0, crowd)  # much out but all young: a burst on idle workers
-        return (share * crowd - LOW_SHARE) / (HIGH_SHARE - LOW_SHARE)
+        """The share to refuse, with too few out for Little's law: what the last answers say, pooled."""
+        waiting = [(sent, aim) for sent, aim, w in self._waiting.values() if not self._gone(now, w, sent)]
+        return self.recent.pressed(now, waiting, self._aim, self._answers < ENOUGH, self.arcs.keeps)
 
     def pick(self, now: float, klass: i.RequestClass, tried: set[str], zone: str | None = None,
              cell: int | None = None) -> str | None:
@@ -298,6 +275,8 @@
         for look in range(LOOKS):
             if look or zone is not None or cell is not None:
                 pool = self._well(now, self._look(self.serving, zone, cell))
+                if self.arcs.keeps:  # the room of cold ones is counted by arcs
+                    pool = [w for w in pool if self._warmth(now, w) is None]
             else:
                 pool = self._pool(now)
             fit = [w for w in pool if w.entry.worker not in tried and self._has_room(now, w)]
@@ -318,7 +297,7 @@
         waits = self._paced(now, klass, fit) if self._shares.paces else None
         waits = waits or [self._slow(now, w) * (1 + len(self._queued(now, w))) * self._far(w) for w in fit]
         return min(zip(waits, fit, strict=True), key=lambda each: (
-            each[0] + lost * self._loss(now, each[1], klass)) * (
+            each[0] + lost * each[1].loss(now, klass.name)) * (
             1.0 + 0.1 * self._random.random()))[1].entry.worker
 
     def _far(self, worker: Worker) -> float:
@@ -344,13 +323,6 @@
             waits.append(self._far(worker) * out * over / pace / max(self.usual(klass), 1e-6))
         return waits
 
-    def _loss(self, now: float, worker: Worker, klass: i.RequestClass) -> float:
-        """The share of a class that a worker leaves unanswered; it fades, so that it is tried again."""
-        if klass.name not in worker.losses:
-            return 0.0
-        loss, at = worker.losses[klass.name]
-        return loss * math.exp((at - now) / FORGET)
-
     def silent(self, now: float, name: str, klass: i.RequestClass, lost: bool = True) -> None:
         """An attempt at a worker goes without an answer, or has one.
 
@@ -358,8 +330,7 @@
         """
         worker = self.workers.get(name)
         if worker is not None and (lost or klass.name in worker.losses):
-            loss = self._loss(now, worker, klass)
-            worker.losses[klass.name] = loss + LEARN * (lost - loss), now
+            worker.lose(now, klass.name, lost, LEARN)
 
     def sent(self, now: float, name: str, key: tuple[str, int], klass: i.RequestClass) -> None:
         """An attempt has gone to a worker."""
@@ -391,8 +362,8 @@
         """
         if (worker := self.workers.get(name)) is None:
             return False
-        least = min((self._loss(now, w, klass) for w in self._look(self.serving)), default=0.0)
-        return self._loss(now, worker, klass) > max(LOSSY, LOSSIER * least)
+        least = min((w.loss(now, klass.name) for w in self._look(self.serving)), default=0.0)
+        return worker.loss(now, klass.name) > max(LOSSY, LOSSIER * least)
 
     def returned(self, now: float, name: str, key: tuple[str, int], klass: i.RequestClass,
                  status: str, took: float) -> None:
@@ -407,6 +378,8 @@
             self._leave(worker)
         if self._workload is not None:
             self._workload.ended(now, name, len(worker.out) + 1, klass.name, self.usual(klass), status, took)
+        if status == i.FULL and self.arcs.keeps:
+            worker.turned_away(now)
         if status in (i.TIMED_OUT, i.FULL, i.UNREACHABLE):
             worker.held.append(now + self._s.fall_time)
         if status in (i.CANCELLED, i.VOID):
@@ -421,16 +394,16 @@
             self._done += 1
             usual = self._usual.setdefault(klass.name, took)
             self.recent.answered(now, took, klass.aim)
-            worker.slow = self._slow(now, worker)
-            worker.slow += LEARN * (min(10.0, took / max(usual, 1e-6)) - worker.slow)
-            worker.learned, worker.fails = now, 0
+            worker.slow = worker.slowness(now)
+            worker.answers += 1
+            learn = max(LEARN, 1 / (1 + worker.answers)) if self.arcs.keeps else LEARN  # it is met seldom
+            worker.slow += learn * (min(10.0, took / max(usual, 1e-6)) - worker.slow)
+            worker.learned, worker.fails, worker.fulls = now, 0, 0
             self._usual[klass.name] = usual + LEARN / 3 * (took - usual)
             self._answers += 1
             if self._answers >= ENOUGH:
                 self._brisk = min(self._brisk, max(self._usual.values()))
         elif status not in (i.FULL, i.SPOILT):  # answers spoilt by chance tell nothing of a worker's health
-            worker.fails += 1
-            sudden = status in (i.UNREACHABLE, i.BROKEN)
-            if sudden or worker.fails >= FAILS:
-                doublings = worker.fails - (1 if sudden else FAILS)
-                worker.until = now + min(LONGEST_BACKOFF, BACKOFF * 2 ** min(doublings, 10))
+            # Errors that come at once draw ever more; who meets a worker seldom sees too few in a row.
+            sudden = status in (i.UNREACHABLE, i.BROKEN) or self.arcs.keeps and status == i.FAILURE
+            worker.failed(now, sudden, self.arcs.keeps)
--- a/micagate/gateway.py
+++ b/micagate/gateway.py
@@ -19,6 +19,7 @@
 RETRY_SHARE, RETRY_DEPTH = 0.2, 10.0  # retry budget: further attempts per first try, and how many it saves up
 CHEAP = 0.5  # of the bounds under pressure: what a class has that is worth next to nothing (ours)
 ADVICE = 0.2  # of the aim: the longest wait that a refusal advises
+EACH = 0.03  # weight of an attempt in how long all are out on average
 WAITS, ALIKE = 32, 0.02  # latest first tries of a class whose waits are kept; those this near are alike
 
 
@@ -76,7 +77,7 @@
     def _list(self, now: float, event: i.WorkerList) -> None:
         if not event.failed:
             self.fleet.update(now, event)
-            self.throttle.workers = self.fleet.serving
+            self.throttle.among(self.fleet.arcs.met, self.fleet.arcs.keeps)
         if self._s.must_subscribe and (event.failed or not self._subscribed):
             self._subscribed = True
             if event.failed:  # ask again a little later: the list's service may be drowning
@@ -226,6 +227,7 @@
             self._timers.pop(ref, None)
         attempt.status = event.status
         attempt.end(event.took)
+        self.quotas.took += (event.took - self.quotas.took) * (EACH if self.quotas.took else 1.0)
         if event.used is not None:
             attempt.account.metered(now, event.used, self.quotas.meter)
         self.fleet.returned(now, attempt.worker, key, attempt.klass, event.status, event.took)
@@ -263,7 +265,9 @@
                     return False
                 zone = anchor.zone if klass.group == "zone" else None
                 cell = anchor.cell if klass.group == "cell" else None
-        if len(pending.attempts) >= self._s.max_attempts or self._budget < 1:
+        # What did not come up cost the workers nothing, and a lost zone takes a third of all tries.
+        free = self.fleet.arcs.keeps and pending.attempts[-1].status == i.UNREACHABLE
+        if len(pending.attempts) >= self._s.max_attempts or self._budget < 1 and not free:
             return False
         worker = self.fleet.pick(now, klass, {a.worker for a in pending.attempts}, zone, cell)
         part = self._part[klass.name] if self.throttle.on else 1.0
@@ -271,7 +275,7 @@
             return False
         if not self.throttle.admit(now, part):
             return False
-        self._budget -= 1
+        self._budget -= not free
         self._send(now, pending, worker)
         return True
 
--- a/micagate/quotas.py
+++ b/micagate/quotas.py
@@ -17,6 +17,7 @@
 LEAST = 2.0  # requests that a part of the store should hold; thinner ones get credit (ours)
 AIMED = 0.6  # of the quota: what slices steer the use to with the whole store empty; 1.6 when full (ours)
 LATE = 3.0  # seconds by which readings of the meter, smoothed, are late: a slice tells by then (ours)
+MOVED = 0.5  # of each part of a ceiling's rate: it follows what the meter shows this gateway to send (ours)
 RETURNS = 0.8  # of what a refusal leaves in a store, what a later try makes good (ours)
 IDLE = 30.0  # seconds after which an idle customer's entry may go (ours)
 
@@ -27,6 +28,7 @@
     def __init__(self, now: float, shares: Shares | None = None, most: int = 30_000, salt: str = "",
                  period: float = 0.0) -> None:
         self.meter = Meter(period)
+        self.took = 0.0  # how long an attempt is out, on average, whoever's
         self._born, self._shares = now, Shares() if shares is None else shares
         self._surveyed: dict[str, Account] | None = None  # asked since the last survey, if any
         self.table, self._debts = Table(most), Debts(salt)
@@ -90,7 +92,10 @@
                 self._divide(a, over, span)
         a.store = min(a.depth, a.store + elapsed * a.slice)
         a.whole.advance(now)
-        a.ceiling = min(a.plan.ceiling_depth / a.span, a.ceiling + elapsed * a.plan.ceiling_rate / a.over)
+        part = 1 / a.over
+        if a.over == a.spread and 0 < a.plan.ceiling_rate * part < LEAST and self.meter.period:
+            part += MOVED * (a.whole.share() - part)
+        a.ceiling = min(a.plan.ceiling_depth / a.span, a.ceiling + elapsed * a.plan.ceiling_rate * part)
         seconds = int(now - a.tick)
         if seconds:
             a.tick += seconds
@@ -115,19 +120,20 @@
         """
         whole, cost = a.whole, max(0.0, a.plan.excess_cost - a.plan.beyond_earns)
         sure = cost / (cost + 1 - RETURNS)
-        known = whole.heard(a.at) and a.over == a.spread and not pressed
+        a.top = max(a.top, units)
+        thin = whole.sliver()  # then the estimate of the whole decides alone: the part says little
+        known = (thin or whole.heard(a.at) and not pressed) and a.over == a.spread
         if a.plan.at_once:
             if a.out >= max(1, int(a.plan.at_once)):
                 return False
-            if a.out >= max(1, int(a.plan.at_once / a.over)) and (
-                    not known or whole.places(a.out, a.took, int(a.plan.at_once)) < sure):
+            if (thin or a.out >= max(1, int(a.plan.at_once / a.over))) and (
+                    not known or whole.places(a.out, a.took or self.took, int(a.plan.at_once)) < sure):
                 return False
         if not a.plan.rate:
             return True
         # Guards against starving: a part of less than a few requests refuses calm customers by chance. Harm:
         # a burst of one that the meter showed as calm goes over until the next readings.
-        a.top = max(a.top, units)
-        credit = 0.0 if pressed else a.room() * max(0.0, LEAST * a.top - a.depth)
+        credit = 0.0 if pressed or thin else a.room() * max(0.0, LEAST * a.top - a.depth)
         if a.store + credit >= min(units, a.depth + credit):
             return True
         # Never further ahead of what the slices gave than the rest of the whole store.
@@ -190,7 +196,7 @@
     def take(self, a: Account, units: float, inside: bool) -> None:
         """Take a first attempt's units; they stay taken even where it proves void, which is rare."""
         most = int(a.plan.at_once)
-        place = a.whole.places(a.out, a.took, most) if most else 1.0
+        place = a.whole.places(a.out, a.took or self.took, most) if most else 1.0
         a.whole.sent(a.at, units, self.meter.period / BINS, place)
         if a.plan.ceiling_rate:
             a.ceiling -= units
--- a/micagate/throttle.py
+++ b/micagate/throttle.py
@@ -27,14 +27,24 @@
         self.on = False
         self.rate = self.base = self.fill = 0.0
         self.workers, self.plans = 1, plans
+        self.least = LEAST_SIGNALS
         self._born = self._leaked = self._since = self._due = self._quiet = self._changed = now
         self._admits: deque[float] = deque()
         self._refusals: deque[float] = deque()
         self._signals: deque[tuple[float, str, str]] = deque()
 
+    def among(self, workers: int, few: bool) -> None:
+        """How many workers signals may come from; `few`: the few of a large fleet that it keeps to.
+
+        Guards against control by chance where traffic is thin: one signal each of those that may be sick
+        would already be as many as start control.
+        """
+        self.workers = workers
+        self.least = max(LEAST_SIGNALS, 1 + workers / SICK_SHARE) if few else LEAST_SIGNALS
+
     def target(self, base: float) -> float:
         """The target overload rate, signals a second."""
-        return max(LEAST_SIGNALS / PERIOD, TARGET_SHARE * base)
+        return max(self.least / PERIOD, TARGET_SHARE * base)
 
     def _measured(self, base: float) -> float:
         """Signals of the window, none of a worker's or a plan's beyond its cap.
