Count an arc's size once a change of the ring, and name a usual answer's share once

The share of the aim that a usual answer takes stood in two modules, and a bound in the watch had a case that its own maximum covers already. Change: Arcs counts when a worker comes or goes, and takes both in by methods of its own; OLD_SHARE stands in estimates/recent.py; max(BACKOFF, EACH * gatekeepers) alone. Nothing decides otherwise.

--- a/micagate/arcs.py
+++ b/micagate/arcs.py
@@ -23,26 +23,26 @@
         self._number, self._gateways = number, gateways
         self.ring: list[Worker] = []  # the usable ones by rank
         self.fit, self._span = 1, 1  # in the arc last looked at: those that were fit, and all
+        self._count()
 
     def add(self, worker: Worker) -> None:
         """A worker has become usable."""
         self.ring.insert(sum(w.rank < worker.rank for w in self.ring), worker)
+        self._count()
 
-    @property
-    def few(self) -> int:
-        """How many a gateway keeps to; all of a small fleet."""
-        serving = len(self.ring)
-        return min(serving, max(NEAR, math.ceil(TOGETHER * serving / self._gateways)))
-
-    @property
-    def keeps(self) -> bool:
-        """Whether this is a gateway of many that keeps to few of many workers."""
-        return self._number is not None and self.few < len(self.ring)
+    def remove(self, worker: Worker) -> None:
+        """A worker is usable no more."""
+        self.ring.remove(worker)
+        self._count()
 
-    @property
-    def met(self) -> int:
-        """How many workers this gateway sends to."""
-        return self.few if self.keeps else len(self.ring)
+    def _count(self) -> None:
+        """Once for each change of the ring, since every choice asks for these."""
+        serving = len(self.ring)
+        # How many a gateway keeps to; all of a small fleet.
+        self.few = min(serving, max(NEAR, math.ceil(TOGETHER * serving / self._gateways)))
+        # Whether this is a gateway of many that keeps to few of many workers.
+        self.keeps = self._number is not None and self.few < serving
+        self.met = self.few if self.keeps else serving  # how many workers it sends to
 
     def of(self, span: int, fit: Callable[[Worker], bool] | None = None) -> list[Worker]:
         """The arc from the own place on of so many workers, or of so many that are `fit`, with those between.
--- a/micagate/estimates/recent.py
+++ b/micagate/estimates/recent.py
@@ -9,7 +9,8 @@
 BRISK = 0.2  # of the aim: pooled answer time under which answers are brisk
 LOW_SHARE, HIGH_SHARE = BRISK, 0.4  # of the aim: pooled answer time at which none, and all, are refused
 SELDOM = 2.0  # times as much where a gateway meets each worker seldom: a bad one or two weigh so much there
-OLD_SHARE, YOUNG_SHARE = 0.15, 0.05  # of the aim: a usual answer; mean age under which what is out is a burst
+OLD_SHARE = 0.15  # of the aim: a usual answer, and the mean age out of a sure latecomer
+YOUNG_SHARE = 0.05  # of the aim: mean age under which what is out is a burst, not a queue
 PRIOR = 1.0  # usual answers mixed in where few are pooled
 SIGMAS = 2.0  # deviations by which what is out at a gateway with little traffic may be up by chance
 
--- a/micagate/fleet.py
+++ b/micagate/fleet.py
@@ -7,7 +7,7 @@
 
 from micagate import interface as i
 from micagate.arcs import TOGETHER, Arcs
-from micagate.estimates.recent import Recent
+from micagate.estimates.recent import OLD_SHARE, Recent
 from micagate.estimates.tails import Tails
 from micagate.shares import Shares, worker_key
 from micagate.worker import BACKOFF, LONGEST_BACKOFF, Worker
@@ -19,7 +19,7 @@
 LOOK, LOOKS = 16, 3  # workers of a larger fleet that a choice looks at, and how often before it gives up
 STALL = 4.0  # times the usual answer time after which silence counts as a stall
 RECENT = 2.0  # seconds over which the fleet's pace is averaged
-LATE_SHARE, OLD_SHARE = 0.5, 0.15  # of the aim: expected answer time and mean age out of a sure latecomer
+LATE_SHARE = 0.5  # of the aim: expected answer time of a sure latecomer; its age out is over `OLD_SHARE`
 ENOUGH = 10.0  # attempts out or just answered that Little's law needs to mean something
 KEEPS_ENOUGH = 30.0  # ... of a gateway that keeps to few of many workers: by chance it has several out
 SPARE = 1.5  # what a warm worker could take over what it gets, at the least (cold guard with many gateways)
@@ -75,7 +75,7 @@
     def _unlist(self, worker: Worker) -> None:
         if worker.usable:
             worker.usable = False
-            self.arcs.ring.remove(worker)
+            self.arcs.remove(worker)
 
     def _leave(self, worker: Worker) -> None:
         """Give a worker no more; forget it if nothing is out there."""
--- a/oliveloft/discovery/watch.py
+++ b/oliveloft/discovery/watch.py
@@ -159,7 +159,7 @@
         self._link: Link | None = None
         self._index = index
         self._random = Random(seed)
-        self._within = max(BACKOFF, EACH * gatekeepers) if gatekeepers > 1 else BACKOFF
+        self._within = max(BACKOFF, EACH * gatekeepers)
         self._first = EACH * (number % gatekeepers) if index is not None else 0.0
         self._pause, self._silence = self._within, SILENCE
         self._timer: asyncio.TimerHandle | None = None
