Keep one stand-in of a discovery that takes a call at a time, for its test and benchmark

Need: the test of forty watches on a slow service and the benchmark each had a server of their own, the same line for line but for its counts. Change: BusyDiscovery in rig/scripted.py, beside the other scripted peers; both call it.

--- a/benchmarks/fleet_at_size.py
+++ b/benchmarks/fleet_at_size.py
@@ -31,6 +31,7 @@
 from oliveloft.discovery import watch
 from rig.capacity import Capacity, Load
 from rig.fleet import Entrance, Fleet
+from rig.scripted import BusyDiscovery
 from rig.simulation import Clock
 from rig.traffic import PlanShape, Store
 
@@ -221,33 +222,14 @@
 
 def list_calls(gatekeepers: int, turns: bool) -> int:
     """Calls until all of them, started in the same instant, have heard from a service that takes one at a time."""
-    each, patience, calls = 0.004, 0.04, 0
-    heard: set[int] = set()
+    service, heard = BusyDiscovery(0.004, 0.04), set[int]()
     usual, watch.EACH = watch.EACH, 0.006
 
     def told(number: int) -> Callable[[watch.News], None]:
         return lambda news: heard.add(number)
 
     async def scenario() -> None:
-        loop = asyncio.get_running_loop()
-        free = 0.0
-
-        async def answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            nonlocal free, calls
-            while await reader.readline() and await reader.readuntil(b"\r\n\r\n"):
-                calls += 1
-                begin = max(free, loop.time())
-                if begin - loop.time() > patience:
-                    writer.write(b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n")
-                    continue
-                free = begin + each
-                await asyncio.sleep(free - loop.time())
-                body = b'{"index": 9, "snapshot": true, "endpoints": []}'
-                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
-                return  # what comes next is the watch that stays open
-
-        service = await asyncio.start_server(answer, "127.0.0.1", 0)
-        where = service.sockets[0].getsockname()[:2]
+        loop, where = asyncio.get_running_loop(), await service.start()
         watches = [watch.Discovery(loop, where, 0.0, told(n), 3 if turns else None,
                                    gatekeepers if turns else 1, n, seed=n) for n in range(gatekeepers)]
         for each_watch in watches:
@@ -258,11 +240,11 @@
                 break
         for each_watch in watches:
             each_watch.stop()
-        service.close()
+        service.stop()
 
     asyncio.run(scenario())
     watch.EACH = usual
-    return calls
+    return service.calls
 
 
 def main() -> int:
--- a/rig/scripted.py
+++ b/rig/scripted.py
@@ -207,6 +207,45 @@
                          f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body)
 
 
+class BusyDiscovery:
+    """A discovery that takes one call at a time, `each` seconds, and turns away what would wait for over `patience`.
+
+    It answers a connection's first call that it takes, and leaves the watch that follows it open.
+    """
+
+    def __init__(self, each: float, patience: float) -> None:
+        self.each, self.patience = each, patience
+        self.calls = self.served = 0
+        self._free = 0.0
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> tuple[str, int]:
+        """Listen; the address."""
+        self._server = await asyncio.start_server(self._answer, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()[:2]
+        return host, port
+
+    def stop(self) -> None:
+        """Listen no more."""
+        if self._server is not None:
+            self._server.close()
+
+    async def _answer(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        loop = asyncio.get_running_loop()
+        while await read_message(reader) is not None:
+            self.calls += 1
+            begin = max(self._free, loop.time())
+            if begin - loop.time() > self.patience:
+                writer.write(b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n")
+                continue
+            self._free = done = begin + self.each  # it also works on calls that nobody waits for
+            await asyncio.sleep(done - loop.time())
+            self.served += 1
+            body = b'{"index": 9, "snapshot": true, "endpoints": []}'
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+            return
+
+
 class Client:
     """A client connection."""
 
--- a/tests/discovery/test_discovery.py
+++ b/tests/discovery/test_discovery.py
@@ -4,7 +4,7 @@
 
 from oliveloft.discovery import watch as module
 from oliveloft.discovery.watch import News
-from rig.scripted import Discovery, Worker, config, launch, run, scene, until
+from rig.scripted import BusyDiscovery, Discovery, Worker, config, launch, run, scene, until
 
 
 def test_it_starts_from_what_it_knew_while_discovery_is_down():
@@ -120,41 +120,21 @@
 
 def test_forty_that_start_together_on_a_slow_service_all_hear_it_and_call_it_a_bounded_number_of_times(monkeypatch):
     """A service that takes a call at a time, and turns away what would wait for longer than it lets callers wait."""
-    many, each, patience = 40, 0.004, 0.04  # the service's seconds: all forty at once would be too many
+    many = 40  # all forty at once would be too many
     monkeypatch.setattr(module, "EACH", 0.006)
     told: dict[int, list[News]] = {n: [] for n in range(many)}
 
     async def scenario():
-        loop = asyncio.get_running_loop()
-        served = free = 0.0
-        calls = []
-
-        async def answer(reader, writer):
-            nonlocal free, served
-            while await reader.readuntil(b"\r\n\r\n"):
-                calls.append(loop.time())
-                begin = max(free, loop.time())
-                free = begin + each  # it also works on calls that nobody waits for
-                if begin - loop.time() > patience:
-                    free = begin
-                    writer.write(b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n")
-                    continue
-                await asyncio.sleep(free - loop.time())
-                served += 1
-                body = b'{"index": 9, "snapshot": false, "endpoints": []}'
-                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
-                await asyncio.sleep(3600)  # the next call is the watch that stays open
-
-        service = await asyncio.start_server(answer, "127.0.0.1", 0)
-        where = ("127.0.0.1", service.sockets[0].getsockname()[1])
+        service = BusyDiscovery(0.004, 0.04)
+        loop, where = asyncio.get_running_loop(), await service.start()
         watches = [module.Discovery(loop, where, 0.0, told[n].append, 3, many, n, seed=n) for n in range(many)]
         for watch in watches:
             watch.start()
         await until(lambda: all(told.values()))
-        assert served == many and len(calls) <= 2 * many
+        assert service.served == many and service.calls <= 2 * many
         for watch in watches:
             watch.stop()
-        service.close()
+        service.stop()
     run(scenario())
 
 
