Answer operators at an address of their own, keep bans, send clients away

Design: a small listener up before the clients' one; lines without I/O (manage/protocol.py); bans as a filter of the list in the decisions (operating/maintenance.py), so that nothing behind it knows of them: a banned worker drains, one that is back started at the call until the list knows better, and is owed its first request by a rule in the choice (Fleet._back). Rejected: a state of its own in Fleet beside the list's (two truths for each list that comes), and a count of calls (one call back undoes all). LEAVE is a state of the clients' side (operating/presence.py): each reply closes, idle connections go after 0.45 s. Rejected: closing them at once (the front still sends for 0.3 s; each that crosses is sent again). A request's time counts from its last byte now, as the protocol says.

--- a/micagate/adapter.py
+++ b/micagate/adapter.py
@@ -128,8 +128,8 @@
             return f"SUBSCRIBE {instance} 1"
         case i.Count(name, amount, life):
             return f"ADD {instance} {name} {amount:.7g} {micros(life)}"
-        case i.Tallies() | i.Freed():
-            raise ValueError("the wire has no planners")  # nor an event that calls for these
+        case i.Tallies() | i.Freed() | i.Maintained():
+            raise ValueError("the wire has no planners or operators")  # nor an event that calls for these
 
 
 class Adapter:
--- a/micagate/fleet.py
+++ b/micagate/fleet.py
@@ -9,9 +9,10 @@
 from micagate.arcs import TOGETHER, Arcs
 from micagate.estimates.recent import OLD_SHARE, Recent
 from micagate.estimates.tails import Tails
-from micagate.shares import Shares, worker_key
+from micagate.shares import Shares
+from micagate.told import worker_key
 from micagate.worker import BACKOFF, LONGEST_BACKOFF, Worker
-from micagate.workload import Workload, sent_to
+from micagate.workload import Workload
 
 # All ours, since the design leaves the choice of a worker open.
 LEARN = 0.15  # weight of a new answer in what was learned
@@ -23,6 +24,7 @@
 ENOUGH = 10.0  # attempts out or just answered that Little's law needs to mean something
 KEEPS_ENOUGH = 30.0  # ... of a gateway that keeps to few of many workers: by chance it has several out
 SPARE = 1.5  # what a warm worker could take over what it gets, at the least (cold guard with many gateways)
+OWED = 2.0  # seconds after which a worker that was put back gets its first request, room or not
 LOSSY, LOSSIER = 0.3, 4.0  # share of answers that a worker loses, and times what another loses: it loses them
 
 
@@ -32,15 +34,16 @@
     def __init__(self, settings: i.Settings, random: Random, now: float, shares: Shares) -> None:
         self._s, self._random, self._shares = settings, random, shares
         self.workers: dict[str, Worker] = {}
+        self.owed: dict[str, float] = {}  # put back by operators, when, and not heard of since
         self._usual: dict[str, float] = {}
         self._done, self._done_at = 0.0, now
         # Out, and not past its aim: when sent, the aim and where.
         self._waiting: dict[tuple[str, int], tuple[float, float, Worker]] = {}
         self.serving, self.tails, self.recent = 0, Tails(now), Recent(now)
-        self._brisk = math.inf  # the shortest usual answer time so far, of the class that takes longest
+        self.brisk = math.inf  # the shortest usual answer time so far, of the class that takes longest
         self._answers = 0
-        self._surveyed_at = now
-        self._workload: Workload | None = None  # counted once a survey has asked for it
+        self.surveyed_at = now
+        self.workload: Workload | None = None  # counted once a survey has asked for it
         self.arcs = Arcs(settings.number, settings.gateways)
         self._pooled: tuple[float, list[Worker]] | None = None  # the last pool, until anything changes
         self._aim = min(c.aim for c in settings.classes)
@@ -136,13 +139,13 @@
         (factor - 1) x capacity x span; each gateway takes its own share of the rate a warm one serves it,
         or of one core at the briskest answer time known: in a jam the rate served says nothing.
         """
-        if (warm := self._warmth(now, worker)) is None:
+        if (warm := self.warmth(now, worker)) is None:
             return True
         over, _ = self._shares.over(now, worker_key(worker.entry.worker), self._s.gateways)
         if self.arcs.keeps and over == self._s.gateways:  # only those send to it in whose arcs it is
             over = max(1.0, over * self.arcs.overlap())
-        cap = (self._s.overload_factor - 1) * warm * self._rate(now) * self._s.fall_time
-        alone = (self._s.overload_factor - 1) * warm * self._s.fall_time / self._brisk / over
+        cap = (self._s.overload_factor - 1) * warm * self.rate(now) * self._s.fall_time
+        alone = (self._s.overload_factor - 1) * warm * self._s.fall_time / self.brisk / over
         if over > self._s.gateways:
             cap *= self._s.gateways / over  # lent; what is borrowed only shortens the turns
         spare = max(SPARE * cap, TOGETHER / over, alone)
@@ -161,40 +164,25 @@
             worker.held.popleft()
         return len(worker.out) + len(worker.held) < max(1, int(cap))
 
-    def _rate(self, now: float) -> float:
+    def rate(self, now: float) -> float:
         """What a warm worker serves this gateway in a second."""
         self._fade(now)
         return self._done / RECENT / max(1, self.arcs.fit if self.arcs.keeps else self.serving)
 
-    def _warmth(self, now: float, worker: Worker) -> float | None:
+    def warmth(self, now: float, worker: Worker) -> float | None:
         """The share of its capacity that a worker has which started lately; None for a warm one."""
         started = worker.entry.started
         if started is None or now - started >= self._s.ramp_time:
             return None
         return self._s.cold_from + (1 - self._s.cold_from) * max(0.0, now - started) / self._s.ramp_time
 
-    def survey(self, now: float) -> list[i.Tally]:
-        """What was and would be sent to each worker since the last survey, and what it can do."""
-        passed, self._surveyed_at = now - self._surveyed_at, now
-        if self._brisk == math.inf or passed <= 0:
-            return []
-        standing = {name: (self._warmth(now, w), self._shares.pace(now, worker_key(name)))
-                    for name, w in self.workers.items() if w.usable}
-        usual, core = self._rate(now) * passed, 1.0 / self._brisk
-        return sent_to(standing, self._workload, usual, core, self._s.gateways)
-
-    def works(self, now: float) -> list[i.Work]:
-        """What became of the attempts at each worker since the last call; the first one begins the count."""
-        self._workload = self._workload or Workload()
-        return self._workload.take(now, {name: len(worker.out) for name, worker in self.workers.items()})
-
     def _slow(self, now: float, worker: Worker) -> float:
         """A worker's answer time over the usual, and what tells of it sooner where it is met seldom."""
         slow = worker.slowness(now)
         if self.arcs.keeps and (queued := self._queued(now, worker)):  # it tells before its answer
             slow = max(slow, (now - queued[0]) / max(self._usual.values(), default=math.inf))
         # What a cold one has left of its capacity is learned too late by who meets it seldom.
-        return slow / (self._warmth(now, worker) or 1.0) if self.arcs.keeps else slow
+        return slow / (self.warmth(now, worker) or 1.0) if self.arcs.keeps else slow
 
     def _fade(self, now: float) -> None:
         self._done *= math.exp((self._done_at - now) / RECENT)
@@ -221,7 +209,7 @@
         all is missed.
         """
         ring = self.arcs.of(span, None if now is None else lambda w: (
-            self._warmth(now, w) is None and self._healthy(now, w)))
+            self.warmth(now, w) is None and self._healthy(now, w)))
         if zone is not None or cell is not None:
             ring = [w for w in ring if zone in (None, w.entry.zone) and cell in (None, w.entry.cell)]
         elif span == self.serving <= LOOK:
@@ -272,11 +260,13 @@
         A gateway among many meets each worker too seldom to know any, and all at once would agree on the
         same favourite: so it keeps to a few of its own, which it meets often (subsetting).
         """
+        if self.owed and zone is None and cell is None and (name := self._back(now, tried)):
+            return name
         for look in range(LOOKS):
             if look or zone is not None or cell is not None:
                 pool = self._well(now, self._look(self.serving, zone, cell))
                 if self.arcs.keeps:  # the room of cold ones is counted by arcs
-                    pool = [w for w in pool if self._warmth(now, w) is None]
+                    pool = [w for w in pool if self.warmth(now, w) is None]
             else:
                 pool = self._pool(now)
             fit = [w for w in pool if w.entry.worker not in tried and self._has_room(now, w)]
@@ -284,6 +274,21 @@
                 return self._best(now, klass, fit)
         return None
 
+    def _back(self, now: float, tried: set[str]) -> str | None:
+        """A worker that operators have put back and that is owed its first request; None where none is.
+
+        Guards against one that stands unused among many, or under control, since others look better. One
+        request at a time, by the cold guard's room, and after `OWED` without.
+        """
+        for name, since in list(self.owed.items()):
+            worker = self.workers.get(name)
+            if worker is None or not worker.usable or now - since > 10 * OWED:
+                del self.owed[name]
+            elif (name not in tried and not self._queued(now, worker) and self._healthy(now, worker)
+                  and (self._has_room(now, worker) or now - since > OWED)):
+                return name
+        return None
+
     def _best(self, now: float, klass: i.RequestClass, fit: list[Worker]) -> str:
         """The worker with the least expected wait.
 
@@ -335,8 +340,8 @@
     def sent(self, now: float, name: str, key: tuple[str, int], klass: i.RequestClass) -> None:
         """An attempt has gone to a worker."""
         worker, self._pooled = self.workers[name], None
-        if self._workload is not None:
-            self._workload.sent(now, name, len(worker.out))
+        if self.workload is not None:
+            self.workload.sent(now, name, len(worker.out))
         worker.out[key] = now
         self._waiting[key] = (now, klass.aim, worker)
         if worker.turn is not None:
@@ -376,14 +381,16 @@
             return
         if not worker.usable:
             self._leave(worker)
-        if self._workload is not None:
-            self._workload.ended(now, name, len(worker.out) + 1, klass.name, self.usual(klass), status, took)
+        if self.workload is not None:
+            self.workload.ended(now, name, len(worker.out) + 1, klass.name, self.usual(klass), status, took)
         if status == i.FULL and self.arcs.keeps:
             worker.turned_away(now)
         if status in (i.TIMED_OUT, i.FULL, i.UNREACHABLE):
             worker.held.append(now + self._s.fall_time)
         if status in (i.CANCELLED, i.VOID):
             return
+        if status != i.UNREACHABLE:
+            self.owed.pop(name, None)
         if status in (i.SUCCESS, i.FULL, i.FAILURE, i.SPOILT):
             worker.heard, worker.latest = now, max(worker.latest, sent)
             self.silent(now, name, klass, lost=False)
@@ -402,7 +409,7 @@
             self._usual[klass.name] = usual + LEARN / 3 * (took - usual)
             self._answers += 1
             if self._answers >= ENOUGH:
-                self._brisk = min(self._brisk, max(self._usual.values()))
+                self.brisk = min(self.brisk, max(self._usual.values()))
         elif status not in (i.FULL, i.SPOILT):  # answers spoilt by chance tell nothing of a worker's health
             # Errors that come at once draw ever more; who meets a worker seldom sees too few in a row.
             sudden = status in (i.UNREACHABLE, i.BROKEN) or self.arcs.keeps and status == i.FAILURE
--- a/micagate/gateway.py
+++ b/micagate/gateway.py
@@ -13,9 +13,11 @@
 from micagate.estimates.waits import Waits
 from micagate.fleet import STALL, Fleet
 from micagate.moves import move
+from micagate.operating.maintenance import Maintenance
 from micagate.pending import Attempt, Pending
 from micagate.quotas import Quotas
 from micagate.shares import Shares
+from micagate.surveys import survey, works
 from micagate.throttle import Throttle
 
 RETRY_SHARE, RETRY_DEPTH = 0.2, 10.0  # retry budget: further attempts per first try, and how many it saves up
@@ -41,6 +43,7 @@
         shares = Shares()
         self.quotas = Quotas(now, shares, settings.accounts, str(seed), settings.meter_period)
         self.fleet = Fleet(settings, self._random, now, shares)
+        self.maintenance = Maintenance()
         self.counting = Counting(settings, now, offset, self._random)
         self._held: dict[str, Pending] = {}  # tries that wait for their count
         self._pending: dict[str, Pending] = {}
@@ -64,6 +67,8 @@
                 self._timer(now, *self._timers.pop(ref, ("", "", 0)))
             case i.WorkerList():
                 self._list(now, event)
+            case i.Maintain(worker, out):
+                self._maintain(now, worker, out)
             case i.StreamStarted(request, number):
                 self._started(now, request, number, event.took)
             case i.Abandoned(request):
@@ -75,9 +80,10 @@
             case i.Shares():
                 if freed := move(self.quotas, now, event, self._plans):
                     self._actions.append(i.Freed(tuple(freed)))
-            case i.Survey(works):
-                tallies = (*self.quotas.survey(), *self.fleet.survey(now))
-                self._actions.append(i.Tallies(tallies, tuple(self.fleet.works(now)) if works else ()))
+            case i.Survey():
+                seen = survey(now, self.fleet, self.quotas.shares, self._s.gateways)
+                tallies = (*self.quotas.survey(), *seen)
+                self._actions.append(i.Tallies(tallies, tuple(works(now, self.fleet)) if event.works else ()))
         if self.counting.actions:
             self._actions += self.counting.actions
             self.counting.actions.clear()
@@ -85,7 +91,7 @@
 
     def _list(self, now: float, event: i.WorkerList) -> None:
         if not event.failed:
-            self.fleet.update(now, event)
+            self.fleet.update(now, self.maintenance.follow(event))
             self.throttle.among(self.fleet.arcs.met, self.fleet.arcs.keeps)
         if self._s.must_subscribe and (event.failed or not self._subscribed):
             self._subscribed = True
@@ -94,6 +100,14 @@
             else:
                 self._actions.append(i.Subscribe())
 
+    def _maintain(self, now: float, worker: str, out: bool) -> None:
+        news = (self.maintenance.out if out else self.maintenance.online)(now, worker)
+        if news is not None:
+            self.fleet.update(now, news)
+            if not out and news.entries:
+                self.fleet.owed[worker] = now
+        self._actions.append(i.Maintained(worker, news is not None))
+
     def _request(self, now: float, event: i.Request) -> None:
         klass, plan = self._classes.get(event.klass), self._plans.get(event.plan)
         if klass is None or plan is None or event.time_left <= self._s.tick:
--- a/micagate/interface.py
+++ b/micagate/interface.py
@@ -382,6 +382,22 @@
     works: tuple[Work, ...] = ()
 
 
-Event = WorkerList | Request | Outcome | StreamStarted | TimerFired | Abandoned | Shares | Survey | Counted
-Action = Send | Refuse | Fail | Cancel | SetTimer | Subscribe | Tallies | Freed | Count
+@dataclass(frozen=True, slots=True)
+class Maintain:
+    """An operator takes a worker out, or puts it back; answered with a `Maintained`."""
+
+    worker: str
+    out: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Maintained:
+    """The answer to a `Maintain`: whether the worker is known. It holds from now on, whatever lists say."""
+
+    worker: str
+    known: bool
+
+
+Event = WorkerList | Maintain | Request | Outcome | StreamStarted | TimerFired | Abandoned | Shares | Survey | Counted
+Action = Maintained | Send | Refuse | Fail | Cancel | SetTimer | Subscribe | Tallies | Freed | Count
 
--- /dev/null
+++ b/micagate/operating/maintenance.py
@@ -0,0 +1,85 @@
+"""Workers that operators have taken out, over whatever the list says of them.
+
+A ban belongs to the worker's id: it outlives lists, addresses, restarts and the process that was told of it (it goes
+over in a handover). It is a state, not a count: a second call out changes nothing and one call back ends it.
+
+The list is passed through `follow`: a banned worker drains there. One that came back started at the call, as far as
+anyone knows, so it is cold even where the list says nothing yet of its restart; what the list tells of a start after
+the ban counts from then on.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import replace
+
+from micagate import interface as i
+
+
+class Maintenance:
+    """The bans, and the list as it was told."""
+
+    def __init__(self) -> None:
+        self._told: dict[str, i.WorkerEntry] = {}
+        self.banned: dict[str, float] = {}  # since when, seconds on the caller's clock
+        self.back: dict[str, tuple[float, float]] = {}  # came back: since when it was out, and when it came
+
+    def follow(self, news: i.WorkerList) -> i.WorkerList:
+        """The list as the choice of workers sees it."""
+        if news.failed:
+            return news
+        if news.whole:
+            self._told.clear()
+            named = {entry.worker for entry in news.entries}
+            self.back = {name: times for name, times in self.back.items() if name in named}
+        for entry in news.entries:
+            if entry.state == i.GONE:
+                self._told.pop(entry.worker, None)
+                self.back.pop(entry.worker, None)
+            else:
+                self._told[entry.worker] = entry
+        if not self.banned and not self.back:
+            return news
+        return replace(news, entries=tuple(self._seen(entry) for entry in news.entries))
+
+    def out(self, now: float, worker: str) -> i.WorkerList | None:
+        """Ban a worker; what that changes in the list, or None for an id that nothing is known of."""
+        if worker not in self._told and worker not in self.banned:
+            return None
+        self.banned.setdefault(worker, now)
+        self.back.pop(worker, None)
+        return self._news(worker)
+
+    def online(self, now: float, worker: str) -> i.WorkerList | None:
+        """End a worker's ban; what that changes in the list, or None for an id that nothing is known of."""
+        if worker not in self._told and worker not in self.banned:
+            return None
+        since = self.banned.pop(worker, None)
+        if since is None:
+            return i.WorkerList()  # it was in all along, or the call came twice
+        if worker in self._told:
+            self.back[worker] = since, now
+        return self._news(worker)
+
+    def restore(self, banned: dict[str, float], back: dict[str, tuple[float, float]],
+                told: Iterable[i.WorkerEntry] = ()) -> i.WorkerList:
+        """Take over bans; what they change in a list that was told before."""
+        self.banned.update(banned)
+        self.back.update(back)
+        for entry in told:
+            self._told.setdefault(entry.worker, entry)
+        return i.WorkerList(tuple(self._seen(entry) for entry in self._told.values()))
+
+    def _news(self, worker: str) -> i.WorkerList:
+        entry = self._told.get(worker)
+        return i.WorkerList(() if entry is None else (self._seen(entry),))
+
+    def _seen(self, entry: i.WorkerEntry) -> i.WorkerEntry:
+        if entry.worker in self.banned:
+            return replace(entry, state=i.DRAINING) if entry.state == i.HEALTHY else entry
+        if (times := self.back.get(entry.worker)) is None or entry.state == i.GONE:
+            return entry
+        since, came = times
+        if entry.started is not None and entry.started >= since:
+            return entry  # the list knows of the restart
+        return replace(entry, started=came)
--- a/micagate/quotas.py
+++ b/micagate/quotas.py
@@ -6,8 +6,9 @@
 from micagate.accounts import Account
 from micagate.debts import Debts
 from micagate.estimates.metering import BINS, Meter
-from micagate.shares import Shares, customer_key
+from micagate.shares import Shares
 from micagate.table import Table
+from micagate.told import customer_key
 from micagate.workload import asked_of
 
 DECAY = 0.7  # of the forecast, each second (ours)
--- a/micagate/shares.py
+++ b/micagate/shares.py
@@ -11,19 +11,17 @@
 import math
 
 from micagate import interface as i
+from micagate.told import Told, put
 
 MOVED = 0.7  # of the stores behind a share, which moves with it (ours)
 
-_Told = dict[str, dict[int, tuple[float, ...]]]  # by thing and session; the latest told is the last
-
-
 class Shares:
     """What is lent and borrowed of each thing."""
 
     def __init__(self) -> None:
         self._ends: dict[int, tuple[float, float]] = {}  # by session: of what is lent, of what is borrowed
-        self._amounts: _Told = {}  # by session: what is lent and what is borrowed
-        self.paces: _Told = {}  # by session: what a worker can do
+        self._amounts: Told = {}  # by session: what is lent and what is borrowed
+        self.paces: Told = {}  # by session: what a worker can do
 
     def change(self, event: i.Shares) -> None:
         """Follow a session; one whose both ends are past is forgotten with its amounts."""
@@ -31,13 +29,13 @@
             self._ends.pop(event.session, None)
             for table in (self._amounts, self.paces):
                 for key in list(table):
-                    _put(table, key, event.session)
+                    put(table, key, event.session)
             return
         self._ends[event.session] = event.lent_until, event.borrowed_until
         for share in event.changes:
-            _put(self._amounts, share.key, event.session, share.lent, share.borrowed)
+            put(self._amounts, share.key, event.session, share.lent, share.borrowed)
         for pace in event.paces:
-            _put(self.paces, pace.key, event.session, pace.pace)
+            put(self.paces, pace.key, event.session, pace.pace)
 
     def pace(self, now: float, key: str) -> float:
         """What a worker can do for all gateways together, answers a second; 0 where that is not known."""
@@ -68,23 +66,3 @@
         rate = max(0.0, 1.0 / count - lent) + borrowed
         room = max(0.0, 1.0 / count - lent * MOVED) + borrowed * MOVED
         return 1.0 / rate if rate > 0 else math.inf, 1.0 / room if room > 0 else math.inf
-
-
-def _put(table: _Told, key: str, session: int, *values: float) -> None:
-    """Set what a session tells of a thing, as the latest of it; where all is 0, or nothing, forget it."""
-    held = table.setdefault(key, {})
-    held.pop(session, None)
-    if any(values):
-        held[session] = values
-    if not held:
-        del table[key]
-
-
-def customer_key(plan: str, customer: str) -> str:
-    """The thing that a customer's quota and ceiling are."""
-    return f"c/{plan}/{customer}"
-
-
-def worker_key(worker: str) -> str:
-    """The thing that a cold worker's room is."""
-    return f"w/{worker}"
--- /dev/null
+++ b/micagate/surveys.py
@@ -0,0 +1,27 @@
+"""What planners are told of the workers here. Decides nothing."""
+
+from __future__ import annotations
+
+import math
+
+from micagate import interface as i
+from micagate.fleet import Fleet
+from micagate.shares import Shares
+from micagate.told import worker_key
+from micagate.workload import Workload, sent_to
+
+
+def survey(now: float, fleet: Fleet, shares: Shares, gateways: int) -> list[i.Tally]:
+    """What was and would be sent to each worker since the last survey, and what it can do."""
+    passed, fleet.surveyed_at = now - fleet.surveyed_at, now
+    if fleet.brisk == math.inf or passed <= 0:
+        return []
+    standing = {name: (fleet.warmth(now, w), shares.pace(now, worker_key(name)))
+                for name, w in fleet.workers.items() if w.usable}
+    return sent_to(standing, fleet.workload, fleet.rate(now) * passed, 1.0 / fleet.brisk, gateways)
+
+
+def works(now: float, fleet: Fleet) -> list[i.Work]:
+    """What became of the attempts at each worker since the last call; the first one begins the count."""
+    fleet.workload = fleet.workload or Workload()
+    return fleet.workload.take(now, {name: len(worker.out) for name, worker in fleet.workers.items()})
--- a/oliveloft/backend/connections.py
+++ b/oliveloft/backend/connections.py
@@ -101,12 +101,13 @@
 class Process:
     """A worker process as discovery last told of it, with its idle connections, the latest used last."""
 
-    __slots__ = ("name", "address", "started", "idle", "told")
+    __slots__ = ("name", "address", "started", "idle", "told", "listed")
 
     def __init__(self, name: str, address: tuple[str, int], started: float | None) -> None:
         self.name, self.address, self.started = name, address, started
         self.idle: list[Connection] = []
         self.told: float | None = None  # when it was told to drain or be gone
+        self.listed = True  # as healthy
 
     def retire(self, now: float) -> None:
         """It drains or is gone: nothing new goes to it, and its idle connections are of no more use."""
@@ -220,9 +221,9 @@
             raise Oversize
         if self._headed:
             return
-        lower = name.lower()
+        lower, value = name.lower(), value.strip(b" \t")  # no part of a value (RFC 9110, 5.5)
         if lower == b"x-not-processed":
-            self._answer.not_processed = value.strip() == b"1"
+            self._answer.not_processed = value == b"1"
         elif lower == b"x-allowance-used":
             if PERCENT.fullmatch(value):  # what can't be read is left; the last that could be stands
                 self._answer.used = float(value) / 100
@@ -329,6 +330,7 @@
         self.rest = Rest(IDLE_SHARE * idle_close, loop.time())
         self._processes: dict[str, Process] = {}
         self._open: set[Connection] = set()
+        self._banned: set[str] = set()  # taken out by operators, whatever the list says
 
     def update(self, endpoints: Iterable[Endpoint], whole: bool) -> None:
         """Follow the list: what drains or is gone is retired, a new address or start is a new process."""
@@ -348,14 +350,30 @@
                     process.retire(now)
                 process = self._processes[entry.worker] = Process(
                     entry.worker, endpoint.address, entry.started)
-            if entry.state == i.HEALTHY:
+            if entry.state == i.HEALTHY and entry.worker not in self._banned:
                 process.told = None
             else:
                 process.retire(now)
+            process.listed = entry.state == i.HEALTHY
         if whole:
             for name in [name for name in self._processes if name not in named]:
                 self._processes.pop(name).retire(now)
 
+    def ban(self, name: str) -> None:
+        """An operator takes a worker out: nothing new goes there, and what is coming up for it is taken back."""
+        self._banned.add(name)
+        if (process := self._processes.get(name)) is not None:
+            process.retire(self.loop.time())
+            for connection in [c for c in self._open if c.process is process and c.transport is None]:
+                connection.give_back()  # nothing of it is written, so it may go elsewhere
+
+    def unban(self, name: str) -> None:
+        """An operator puts a worker back; what the list says of it stands."""
+        self._banned.discard(name)
+        process = self._processes.get(name)
+        if process is not None and process.listed:
+            process.told = None
+
     def __len__(self) -> int:
         return len(self._processes)
 
--- a/oliveloft/front/http.py
+++ b/oliveloft/front/http.py
@@ -11,6 +11,7 @@
 import httptools
 
 from micagate import interface as i
+from micagate.operating.presence import Presence
 from oliveloft.backend.connections import HOP_BY_HOP, MAX_BODY, MAX_HEAD
 from oliveloft.gatekeeper.bridge import Bridge, Request
 
@@ -54,7 +55,7 @@
     __slots__ = ("seen", "method", "url", "fields", "lines", "twice", "body", "size", "keep", "refusal")
 
     def __init__(self, seen: float) -> None:
-        self.seen = seen  # when its first byte was seen
+        self.seen = seen  # when its last byte was seen, once it is whole: its time counts from there
         self.method = b""
         self.url = b""
         self.fields: dict[bytes, bytes] = {}
@@ -148,7 +149,7 @@
     # The parser's side.
 
     def on_message_begin(self) -> None:
-        """A request begins: its time counts from here."""
+        """A request begins."""
         now = self._server.loop.time()
         self._incoming = Incoming(now)
         if self.good and not self._busy:
@@ -167,6 +168,7 @@
         if self._headed:
             return
         lower = name.lower()
+        value = value.strip(b" \t")  # white space round a value is no part of it (RFC 9110, 5.5)
         if lower in incoming.fields:
             incoming.twice = lower if lower.startswith(b"x-") else incoming.twice
         incoming.fields[lower] = value
@@ -209,6 +211,7 @@
     def on_message_complete(self) -> None:
         """A request is whole."""
         incoming, self._incoming = cast(Incoming, self._incoming), None
+        incoming.seen = self._server.loop.time()
         incoming.keep = cast(httptools.HttpRequestParser, self._parser).should_keep_alive()
         self._headed, self._unread = False, 0
         self._queue.append(incoming)
@@ -292,7 +295,7 @@
         transport = self._transport
         if transport is None:
             return
-        keep = self._keep and not self._server.closing
+        keep = self._keep and not self._server.closing and not self._server.presence.closes()
         self.since = self._server.loop.time()
         if self.good:
             self._server.rested(self)
@@ -345,8 +348,9 @@
     """All client connections, and the bound on them."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, settings: i.Settings, units_top: float, limit: int,
-                 kept: int, bridge: Bridge) -> None:
+                 kept: int, bridge: Bridge, presence: Presence | None = None) -> None:
         self.loop, self.bridge = loop, bridge
+        self.presence = Presence() if presence is None else presence
         self.closing = False  # every further reply closes its connection
         self.emptied: asyncio.Event = asyncio.Event()
         self._limit, self._kept = limit, kept
@@ -369,7 +373,15 @@
 
     def ready(self) -> bool:
         """Whether clients may be sent here."""
-        return self._able and not self._retired
+        return self._able and not self._retired and self.presence.left is None
+
+    def health(self) -> tuple[bool, str]:
+        """Whether clients may be sent here, and why not."""
+        if self.ready():
+            return True, f"serving, {len(self._clients)} connections"
+        if self._retired:
+            return False, "stopping"
+        return False, "sending clients away" if self.presence.left is not None else "no workers are known yet"
 
     def joined(self, client: Client) -> None:
         """A connection has come up; beyond the bound another makes room, or this one is refused.
@@ -422,8 +434,12 @@
     def sweep(self) -> None:
         """Look after idle and slow clients."""
         now = self.loop.time()
+        clears = self.presence.clears(now)
         for client in list(self._clients):
-            client.sweep(now)
+            if clears and client.idle():
+                client.close()
+            else:
+                client.sweep(now)
 
     async def finish(self, patience: float) -> None:
         """Answer what is held, each reply with `Connection: close`, and wait until all clients have gone."""
--- a/oliveloft/gatekeeper/bridge.py
+++ b/oliveloft/gatekeeper/bridge.py
@@ -70,6 +70,17 @@
         self._workers.update(news.endpoints, news.whole)
         self._hand(i.WorkerList(tuple(e.entry for e in news.endpoints), whole=news.whole), "")
 
+    def maintain(self, worker: str, out: bool) -> bool:
+        """An operator takes a worker out or puts it back; whether anything is known of it."""
+        known = False
+        for action in self._module.handle(self._loop.time(), i.Maintain(worker, out)):
+            known = known or isinstance(action, i.Maintained) and action.known
+        if known and out:
+            self._workers.ban(worker)
+        elif known:
+            self._workers.unban(worker)
+        return known
+
     def shares(self, event: i.Shares) -> tuple[i.Fill, ...]:
         """Planners have moved shares: they hold from now on. What left the stores with what was given
         away."""
@@ -130,7 +141,7 @@
                     self._counter.call(action, self._counted)
                 else:
                     self._counted(i.Counted(action.name, i.UNREACHABLE))
-            case i.Subscribe() | i.Tallies() | i.Freed():
+            case i.Subscribe() | i.Tallies() | i.Freed() | i.Maintained():
                 pass  # discovery is watched from the start; who asks takes the others itself
 
     def _counted(self, answer: i.Counted) -> None:
--- a/oliveloft/gatekeeper/config.py
+++ b/oliveloft/gatekeeper/config.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import json
+import os
 import resource
+import socket
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -34,6 +36,8 @@
     connect_timeout: float
     idle_close: float
     units_top: float
+    management: tuple[str, int] | None = None  # the operators' address
+    accept_fd: int | None = None  # the clients' listening socket, where whoever started the process holds it
 
 
 def address(text: object, least: int = 1) -> tuple[str, int]:
@@ -90,7 +94,11 @@
     counter = None
     if "counter" in raw:
         counter = _address(raw, env, "counter", "", 1)
+    management = None
+    if "management" in raw or env.get("PROXY_MANAGEMENT"):
+        management = _address(raw, env, "management", "PROXY_MANAGEMENT", 0)
     return Config(
+        management=management, accept_fd=_accept_fd(env),
         name=str(raw.get("name") or env.get("PROXY_NAME") or "oliveloft"),
         listen=_address(raw, env, "listen", "PROXY_LISTEN", 0),
         discovery=_address(raw, env, "discovery", "PROXY_DISCOVERY", 1),
@@ -106,6 +114,23 @@
         raise ConfigError(f"{key}: {error}") from error
 
 
+def _accept_fd(env: Mapping[str, str]) -> int | None:
+    """The inherited listening socket that the environment names; ConfigError where it is none."""
+    text = env.get("PROXY_ACCEPT_FD")
+    if not text:
+        return None
+    if not text.isdecimal():
+        raise ConfigError(f"PROXY_ACCEPT_FD: {text!r} is no descriptor")
+    try:
+        with socket.socket(fileno=os.dup(int(text))) as held:
+            listens = held.type == socket.SOCK_STREAM and held.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN)
+    except OSError as error:
+        raise ConfigError(f"PROXY_ACCEPT_FD: {text}: {error.strerror or error}") from error
+    if not listens:
+        raise ConfigError(f"PROXY_ACCEPT_FD: {text} is no listening socket")
+    return int(text)
+
+
 def _sockets(raw: dict[str, Any]) -> int:
     """How many descriptors the process may hold: the limit told, or the system's where that is lower."""
     limits = raw.get("limits", {})
--- a/oliveloft/gatekeeper/process.py
+++ b/oliveloft/gatekeeper/process.py
@@ -8,6 +8,7 @@
 import os
 import resource
 import signal
+import socket
 import sys
 import time
 from dataclasses import dataclass
@@ -16,12 +17,16 @@
 import uvloop
 
 from micagate.gateway import Gateway
+from micagate.operating.presence import Presence
 from oliveloft.backend.connections import Workers
 from oliveloft.counter.client import Counter
 from oliveloft.discovery.watch import Discovery, News
 from oliveloft.front.http import Client, Server
 from oliveloft.gatekeeper.bridge import Bridge
 from oliveloft.gatekeeper.config import Config, ConfigError, load
+from oliveloft.manage.operations import Operations
+from oliveloft.manage.server import MOST as CALLERS
+from oliveloft.manage.server import Management
 
 if TYPE_CHECKING:  # the platform's gatekeeper has no planners and loads nothing of them
     from oliveloft.planners.config import PlannersConfig
@@ -49,7 +54,7 @@
 async def serve(config: Config, planning: Planning | None = None) -> int:
     """Run until a signal; the exit status."""
     loop = asyncio.get_running_loop()
-    room = max(16, config.sockets - RESERVE)
+    room = max(16, config.sockets - RESERVE - (CALLERS if config.management is not None else 0))
     clients = int(room * CLIENT_SHARE)
     workers = Workers(loop, room - clients, config.connect_timeout, config.idle_close, config.drain_grace)
     offset = time.time() - loop.time()  # once: a worker's start must be the same in every list
@@ -59,7 +64,16 @@
     gateway = Gateway(config.settings, config.seed, loop.time(), offset)
     bridge = Bridge(loop, config.settings, gateway, workers, counter)
     kept = int(config.sockets * KEPT_SHARE)
-    server = Server(loop, config.settings, config.units_top, clients, kept, bridge)
+    presence = Presence()
+    server = Server(loop, config.settings, config.units_top, clients, kept, bridge, presence)
+    management = None
+    if config.management is not None:  # first: operators are answered whatever becomes of the rest
+        management = Management(loop, Operations(loop, bridge, server, presence).carry)
+        try:
+            where = await management.start(*config.management)
+        except OSError as error:
+            raise ConfigError(f"management: {error.strerror or error}") from error
+        log.info("management at %s:%d", *where)
 
     def tell(news: News) -> None:
         bridge.news(news)
@@ -89,7 +103,7 @@
         for task in waiting:
             task.cancel()
     try:
-        listener = await loop.create_server(lambda: Client(server), *config.listen, backlog=BACKLOG)
+        listener = await _listen(loop, config, server)
     except OSError as error:
         raise ConfigError(f"listen: {error.strerror or error}") from error
     loading = config.settings.gateways if config.settings.must_subscribe else 1
@@ -133,9 +147,20 @@
         counter.stop()
     if links is not None:
         links.stop()
+    if management is not None:
+        management.stop()
     return 0
 
 
+async def _listen(loop: asyncio.AbstractEventLoop, config: Config, server: Server) -> asyncio.Server:
+    """The clients' listener: on the socket that was inherited, where one is, else on an own one."""
+    if config.accept_fd is None:
+        return await loop.create_server(lambda: Client(server), *config.listen, backlog=BACKLOG)
+    held = socket.socket(fileno=config.accept_fd)
+    held.setblocking(False)
+    return await loop.create_server(lambda: Client(server), sock=held, backlog=BACKLOG)
+
+
 def _planning(config: Config, index: int, file: str, born: float) -> Planning:
     from oliveloft.planners.config import load as load_planners
     planners = load_planners(file)
--- /dev/null
+++ b/oliveloft/manage/operations.py
@@ -0,0 +1,42 @@
+"""What the operators' calls do: a bridge between their lines and the decisions. It decides nothing."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+
+from micagate.operating.presence import Presence
+from oliveloft.front.http import Server
+from oliveloft.gatekeeper.bridge import Bridge
+from oliveloft.manage import protocol
+
+log = logging.getLogger("oliveloft")
+
+
+class Operations:
+    """Carries out calls, each at once."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, bridge: Bridge, server: Server, presence: Presence) -> None:
+        self._loop, self._bridge, self._server, self._presence = loop, bridge, server, presence
+
+    def carry(self, call: protocol.Call) -> tuple[bool, str]:
+        """Do what is asked: whether it was done, and what there is to say."""
+        match call.word:
+            case protocol.HEALTH:
+                return self._server.health()
+            case protocol.OFFLINE | protocol.ONLINE:
+                return self._maintain(call.worker, call.word == protocol.OFFLINE)
+            case protocol.LEAVE:
+                if self._presence.leave(self._loop.time()):
+                    log.info("sending clients away")
+                return True, "sending clients away; JOIN takes them again"
+            case _:
+                if self._presence.join():
+                    log.info("taking clients again")
+                return True, "taking clients"
+
+    def _maintain(self, worker: str, out: bool) -> tuple[bool, str]:
+        if not self._bridge.maintain(worker, out):
+            return False, f"no worker {worker} is known here"
+        log.info("worker %s is %s", worker, "out for maintenance" if out else "back")
+        return True, f"nothing more goes to {worker}" if out else f"{worker} is back"
--- a/rig/planning.py
+++ b/rig/planning.py
@@ -18,7 +18,7 @@
 from micagate.planning.messages import Again, Report, Word
 from micagate.planning.terms import Terms
 from micagate.quotas import Quotas
-from micagate.shares import customer_key
+from micagate.told import customer_key
 from rig.simulation import Clock, Link, LocalClock, Network
 
 TICK = 0.05  # seconds between looks at what is due, at forwarders and planners
--- a/tests/decisions/test_shares.py
+++ b/tests/decisions/test_shares.py
@@ -7,7 +7,8 @@
 from micagate import interface as i
 from micagate.moves import move
 from micagate.quotas import Quotas
-from micagate.shares import MOVED, Shares, customer_key, worker_key
+from micagate.shares import MOVED, Shares
+from micagate.told import customer_key, worker_key
 from rig.driver import Driver, sends
 
 CAPPED = i.Plan("capped", rate=10.0, burst=20.0, ceiling_rate=20.0, ceiling_depth=40.0)
--- /dev/null
+++ b/tests/manage/test_operations.py
@@ -0,0 +1,172 @@
+"""The operators' address of the real program."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+
+import pytest
+
+from rig.scripted import Client, Discovery, Worker, answer, config, hang, launch, run, scene, spawn, until
+
+
+def test_calls_are_answered_whatever_form_they_come_in():
+    async def scenario():
+        async with scene(Worker("w")) as (gatekeeper, _, _):
+            for line, end in ((b"HEALTH\n", False), (b"health\r\n", False), (b"Health", True),
+                              (b"HEALTH\nJOIN\n", False)):
+                assert (await gatekeeper.call(line, end)).startswith("ok ")
+            for line in (b"\n", b"NOTHING\n", b"OFFLINE\n", b"OFFLINE nobody\n", b"ONLINE nobody\n", b"x" * 600,
+                         b"HEALTH you\n", b"\xff\n"):
+                assert (await gatekeeper.call(line)).startswith("fail "), line
+    run(scenario())
+
+
+def test_sixty_callers_that_say_nothing_keep_nobody_out():
+    async def scenario():
+        async with scene(Worker("w")) as (gatekeeper, _, client):
+            callers = [await asyncio.open_connection("127.0.0.1", gatekeeper.management) for _ in range(60)]
+            for _, writer in callers[::2]:
+                writer.write(b"HEAL")
+            assert (await gatekeeper.call("HEALTH")).startswith("ok ")
+            assert (await client.ask()).status == 200
+            for _, writer in callers:
+                writer.close()
+    run(scenario())
+
+
+def test_a_worker_out_gets_nothing_at_any_address_and_comes_back():
+    async def scenario():
+        worker, other = Worker("w"), Worker("v")
+        async with scene(worker, other) as (gatekeeper, discovery, client):
+            assert (await gatekeeper.call("OFFLINE w")).startswith("ok ")
+            seen = len(worker.seen)
+            moved = await Worker("w").start()
+            for _ in range(10):
+                assert (await client.ask("write")).status == 200
+            discovery.change(moved.entry())
+            await discovery.watched()
+            for _ in range(10):
+                assert (await client.ask("write")).status == 200
+            assert len(worker.seen) == seen and not moved.seen
+            assert (await gatekeeper.call("ONLINE w")).startswith("ok ")
+            async with asyncio.timeout(5):
+                while not moved.seen:
+                    assert (await client.ask("write")).status == 200
+    run(scenario())
+
+
+def test_an_attempt_whose_connection_is_coming_up_is_taken_back_and_goes_elsewhere():
+    async def scenario():
+        full = socket.socket()
+        full.bind(("127.0.0.1", 0))
+        full.listen(0)
+        fillers = []
+        for _ in range(2):  # its queue is full: what connects further stays on its way
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(full.getsockname())
+            fillers.append(filler)
+        stuck = Worker("stuck")
+        stuck.port = full.getsockname()[1]
+        other = await Worker("v").start()
+        discovery = await Discovery([stuck.entry()]).start()
+        gatekeeper = await launch(config(discovery.port, changes={"Caps": {"ConnectTimeoutUs": 3000000}}))
+        await discovery.watched()
+        client = await gatekeeper.client()
+        client.send(Client.request("write", timeout="4.0"))
+        await asyncio.sleep(0.2)
+        discovery.change(other.entry())
+        await discovery.watched()
+        assert (await gatekeeper.call("OFFLINE stuck")).startswith("ok ")
+        async with asyncio.timeout(1.5):
+            reply = await client.receive()
+        assert reply.status == 200 and len(other.seen) == 1
+        gatekeeper.process.kill()
+        await gatekeeper.process.wait()
+        for held in (*fillers, full):
+            held.close()
+    run(scenario())
+
+
+def test_leave_says_no_at_once_serves_what_comes_and_closes_the_idle_ones():
+    async def scenario():
+        worker = Worker("w")
+        async with scene(worker) as (gatekeeper, _, idle):
+            assert (await idle.ask()).status == 200
+            go = asyncio.Event()
+
+            async def wait(request, writer):
+                await go.wait()
+                await answer()(request, writer)
+
+            worker.script = wait
+            held = await gatekeeper.client()
+            held.send(Client.request("write", timeout="3.0"))
+            await until(lambda: len(worker.seen) == 2)
+            for _ in range(2):
+                assert (await gatekeeper.call("LEAVE")).startswith("ok ")
+            assert await gatekeeper.health() == 503
+            assert (await gatekeeper.call("HEALTH")).startswith("fail ")
+            worker.script = answer()
+            late = await (await gatekeeper.client()).ask("write")
+            assert late.status == 200 and late.headers["connection"] == "close"
+            async with asyncio.timeout(3):
+                assert await idle.ended()
+            go.set()
+            assert (await held.receive()).status == 200 and await held.ended()
+            assert (await gatekeeper.call("JOIN")).startswith("ok ")
+            assert await gatekeeper.health() == 200
+            again = await (await gatekeeper.client()).ask("write")
+            assert again.status == 200 and "connection" not in again.headers
+    run(scenario())
+
+
+def test_sigterm_after_leave_ends_with_nothing_lost():
+    async def scenario():
+        worker = Worker("w", hang)
+        async with scene(worker, ends=True) as (gatekeeper, _, client):
+            client.send(Client.request("read", timeout="0.8"))
+            await until(lambda: worker.seen)
+            await gatekeeper.call("LEAVE")
+            gatekeeper.process.send_signal(signal.SIGTERM)
+            assert (await client.receive()).status in (502, 504)
+            assert await gatekeeper.process.wait() == 0
+    run(scenario())
+
+
+def test_the_inherited_socket_is_taken_and_a_bad_one_named():
+    async def scenario():
+        held = socket.socket()
+        held.bind(("127.0.0.1", 0))
+        held.listen(64)
+        discovery = await Discovery([]).start()
+        made = config(discovery.port)
+        made["listen"] = f"127.0.0.1:{held.getsockname()[1]}"
+        gatekeeper = await spawn(json.dumps(made), accept=held)
+        await gatekeeper.listening()
+        assert gatekeeper.port == held.getsockname()[1] and await gatekeeper.health() == 503
+        gatekeeper.process.kill()
+        await gatekeeper.process.wait()
+        for text in ("x", "97"):
+            os.environ["PROXY_ACCEPT_FD"] = text
+            try:
+                bad = await launch(made)
+            finally:
+                del os.environ["PROXY_ACCEPT_FD"]
+            assert await bad.process.wait() == 2
+            await bad._reading
+            assert len(bad.log) == 1 and "PROXY_ACCEPT_FD" in bad.log[0]
+        held.close()
+    run(scenario())
+
+
+@pytest.mark.parametrize("where", ["nowhere", "127.0.0.1:99999"])
+def test_a_bad_address_for_operators_is_named(where):
+    async def scenario():
+        gatekeeper = await launch({**config(9), "management": where})
+        assert await gatekeeper.process.wait() == 2
+        await gatekeeper._reading
+        assert len(gatekeeper.log) == 1 and "management" in gatekeeper.log[0]
+    run(scenario())
--- /dev/null
+++ b/tests/manage/test_protocol.py
@@ -0,0 +1,34 @@
+"""The operators' lines."""
+
+import pytest
+
+from micagate.operating.presence import HEARD, Presence
+from oliveloft.manage import protocol
+
+
+@pytest.mark.parametrize(("line", "call"), [
+    (b"HEALTH", protocol.Call("HEALTH")), (b"health\r", protocol.Call("HEALTH")),
+    (b"  Leave  ", protocol.Call("LEAVE")), (b"OFFLINE s-5be2a07c\r", protocol.Call("OFFLINE", "s-5be2a07c")),
+    (b"online\ts-1", protocol.Call("ONLINE", "s-1")), (b"JOIN", protocol.Call("JOIN"))])
+def test_calls_are_read_in_any_case_and_spacing(line, call):
+    assert protocol.read(line) == call
+
+
+@pytest.mark.parametrize("line", [
+    b"", b"  ", b"RESTART", b"HEALTH now", b"OFFLINE", b"OFFLINE a b", b"ONLINE \xc3\xa9", b"OFFLINE " + b"x" * 300,
+    b"\xff\xfe", b"\x00"])
+def test_what_is_no_call_is_told_so(line):
+    with pytest.raises(protocol.BadCall) as error:
+        protocol.read(line)
+    assert len(protocol.answer(False, str(error.value)).splitlines()) == 1
+
+
+def test_an_answer_is_one_line_whatever_it_says():
+    assert protocol.answer(True, "a\r\nb") == b"ok a b\n" and protocol.answer(False, "no") == b"fail no\n"
+
+
+def test_idle_connections_stay_until_whoever_sends_clients_has_heard():
+    presence = Presence()
+    assert presence.leave(1.0) and not presence.leave(5.0)
+    assert presence.closes() and not presence.clears(1.0 + HEARD / 2) and presence.clears(1.01 + HEARD)
+    assert presence.join() and not presence.join() and not presence.closes() and not presence.clears(9.0)
--- a/tests/planners/test_paces.py
+++ b/tests/planners/test_paces.py
@@ -10,7 +10,7 @@
 
 from micagate import interface as i
 from micagate.planning.ledger import Ledger
-from micagate.shares import worker_key
+from micagate.told import worker_key
 from oliveloft.planners.status import gather, table
 from rig.capacity import Capacity
 from rig.cluster import TERMS, Cluster
