--- a/oliveloft/front/http.py
+++ b/oliveloft/front/http.py
@@ -400,10 +400,10 @@
 
     def health(self) -> tuple[bool, str]:
         """Whether clients may be sent here, and why not."""
-        if self.ready():
-            return True, f"serving, {len(self._clients)} connections"
         if self.hand is not None:
             return False, "another process serves in this one's place"
+        if self.ready():
+            return True, f"serving, {len(self._clients)} connections"
         if self._retired:
             return False, "stopping"
         return False, "sending clients away" if self.presence.left is not None else "no workers are known yet"
