Stream long bodies both ways under one bound on memory

Need: bodies and answers of up to 32 MB, more at once than memory holds, and peers that take seconds.

Design: a body beyond 64 KiB is gathered in blocks under one budget (bodies/keeping.py, pure), kept from its first byte for a further attempt while there is room; where there is none it flows through a window of 128 KiB with its sender held back, and the attempt that had it is the only one (Outcome.kept). It is passed on once a MB has come, or at once where memory is scarce; time and timers begin with the last byte (the event Whole). An answer beyond 64 KiB, or of unknown length and not here within 0.1 s, goes on from its first byte; the deadline never cuts it, a break cuts the client's connection, and what a slow reader leaves is held under the same budget. Standing still is judged by progress: 2.5 s of a request, 8 s of an answer.

limits.body_mb and limits.held_mb set the bounds; both are checked.

--- a/micagate/fleet.py
+++ b/micagate/fleet.py
@@ -353,6 +353,13 @@
         if (waited := self._waiting.pop(key, None)) is not None:
             self.recent.missed(now, waited[1])
 
+    def answering(self, now: float, name: str, key: tuple[str, int]) -> None:
+        """An answer has begun: the worker lives, and what follows is no wait for it."""
+        self._pooled = None
+        waited = self._waiting.pop(key, None)
+        if waited is not None and key in waited[2].out:
+            waited[2].heard, waited[2].latest = now, max(waited[2].latest, waited[0])
+
     def overtaken(self, name: str, sent: float) -> bool:
         """Whether the worker has answered something that was sent to it later."""
         return (worker := self.workers.get(name)) is not None and sent <= worker.latest
--- a/micagate/gateway.py
+++ b/micagate/gateway.py
@@ -67,6 +67,8 @@
                 self._timer(now, *self._timers.pop(ref, ("", "", 0)))
             case i.WorkerList():
                 self._list(now, event)
+            case i.Whole(request, kept):
+                self._whole(now, request, kept)
             case i.Maintain(worker, out):
                 self._maintain(now, worker, out)
             case i.StreamStarted(request, number):
@@ -166,7 +168,8 @@
         self.quotas.take(account, pending.request.units, pending.inside, counted)
         self._pending[name] = pending
         self._send(now, pending, worker)
-        pending.timer = self._set_timer(pending.deadline - now - self._s.tick, "deadline", name, 0)
+        if pending.whole:
+            pending.timer = self._set_timer(pending.deadline - now - self._s.tick, "deadline", name, 0)
 
     def _refuse(self, request: str, aim: float) -> None:
         """Refuse with advice that leaves several tries before the aim: later ones spend units for nothing."""
@@ -179,10 +182,34 @@
         pending.attempts.append(attempt)
         pending.account.out += 1
         self.out[name, number] = attempt
-        self.fleet.sent(now, worker, (name, number), klass)
         self._actions.append(i.Send(name, worker))
+        if pending.whole:
+            self._began(now, pending, number)
+
+    def _whole(self, now: float, name: str, kept: bool) -> None:
+        """The last byte of a request has come: its time, and that of the attempt that is out, begin here.
+
+        What comes slowly would look like a worker that is slow.
+        """
+        pending = self._pending.get(name) or self._held.get(name)
+        if pending is None or pending.whole:
+            return
+        pending.whole, pending.kept, pending.deadline = True, kept, now + pending.request.time_left
+        if not pending.attempts:
+            return
+        pending.timer = self._set_timer(pending.request.time_left - self._s.tick, "deadline", name, 0)
+        number = len(pending.attempts) - 1
+        if not pending.attempts[number].status:
+            pending.attempts[number].sent = now
+            self._began(now, pending, number)
+
+    def _began(self, now: float, pending: Pending, number: int) -> None:
+        """An attempt is out: a worker has all of it."""
+        name, attempt, klass = pending.request.request, pending.attempts[number], pending.klass
+        if attempt.worker in self.fleet.workers:
+            self.fleet.sent(now, attempt.worker, (name, number), klass)
         attempt.timers.append(self._set_timer(klass.aim, "aim", name, number))
-        if number + 1 < self._s.max_attempts and klass.effect != i.SIDE_EFFECT:
+        if pending.kept and number + 1 < self._s.max_attempts and klass.effect != i.SIDE_EFFECT:
             attempt.timers.append(self._set_timer(self._silence(klass), "hedge", name, number))
 
     def _silence(self, klass: i.RequestClass) -> float:
@@ -247,6 +274,7 @@
         pending, attempt = self._pending.get(name), self.out.get((name, number))
         if attempt is not None:
             self._late(now, attempt, took)
+            self.fleet.answering(now, attempt.worker, (name, number))
             attempt.signalled = True  # what follows is the stream's length, no sign of load
         if pending is not None:
             pending.streaming = True
@@ -288,7 +316,7 @@
                         self._actions.append(i.Cancel(event.request, number))
         elif any(not other.status for other in pending.attempts):
             pass  # another copy is still out
-        elif now >= pending.deadline - self._s.tick or not self._again(now, pending):
+        elif not event.kept or now >= pending.deadline - self._s.tick or not self._again(now, pending):
             self._end(pending)
         self._leave(attempt.group)
 
--- a/micagate/interface.py
+++ b/micagate/interface.py
@@ -145,6 +145,7 @@
     spread: int = 1
     repeat: bool = False
     first: int = 0  # the number of the first gateway that may see them; the others follow it, counted round
+    whole: bool = True  # its last byte has come; else a `Whole` follows, and its time counts from there
 
     def __post_init__(self) -> None:
         _check(self, 1, ("spread",))
@@ -163,6 +164,7 @@
     took: float
     used: float | None = None
     final_units: float = 0.0
+    kept: bool = True  # what a further attempt would need of the request is still there
 
 
 @dataclass(frozen=True, slots=True)
@@ -175,6 +177,17 @@
     took: float
 
 
+@dataclass(frozen=True, slots=True)
+class Whole:
+    """The last byte of a request has come, and gone on to the attempt that is out, if one is.
+
+    `kept`: so has what a further attempt would need.
+    """
+
+    request: str
+    kept: bool = True
+
+
 @dataclass(frozen=True, slots=True)
 class TimerFired:
     """A timer set by this gateway is due."""
@@ -398,6 +411,7 @@
     known: bool
 
 
-Event = WorkerList | Maintain | Request | Outcome | StreamStarted | TimerFired | Abandoned | Shares | Survey | Counted
+Event = (Whole | WorkerList | Maintain | Request | Outcome | StreamStarted | TimerFired | Abandoned | Shares | Survey
+         | Counted)
 Action = Maintained | Send | Refuse | Fail | Cancel | SetTimer | Subscribe | Tallies | Freed | Count
 
--- a/micagate/pending.py
+++ b/micagate/pending.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from micagate import interface as i
 from micagate.accounts import Account
 from micagate.counting.counting import Call
@@ -39,11 +41,15 @@
 class Pending:
     """A request that is owed its end."""
 
-    __slots__ = ("request", "klass", "account", "deadline", "inside", "attempts", "streaming", "timer", "call")
+    __slots__ = ("request", "klass", "account", "deadline", "inside", "attempts", "streaming", "timer", "call",
+                 "whole", "kept")
 
     def __init__(self, request: i.Request, klass: i.RequestClass, account: Account, deadline: float) -> None:
         self.request, self.klass, self.account, self.deadline = request, klass, account, deadline
         self.inside, self.streaming = True, False
         self.attempts: list[Attempt] = []
         self.timer = 0
+        self.whole, self.kept = request.whole, True
+        if not request.whole:
+            self.deadline = math.inf  # its time has not begun
         self.call: Call | None = None  # that counted it
--- a/oliveloft/backend/connections.py
+++ b/oliveloft/backend/connections.py
@@ -13,17 +13,25 @@
 import socket
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
-from typing import cast
+from typing import TYPE_CHECKING, cast
 
 import httptools
 
 from micagate import interface as i
 from oliveloft.backend.rest import Rest
+from oliveloft.bodies.body import Body
+
+if TYPE_CHECKING:
+    from oliveloft.gatekeeper.bridge import Sink
 
 log = logging.getLogger("oliveloft")
 
 MAX_BODY = 64 * 1024
 MAX_HEAD = 16 * 1024
+LONGEST = 48 * 1024 * 1024  # bytes of a long body, unless set otherwise
+FLOW = 64 * 1024  # bytes of a long request that wait to be written, beyond which no more are handed on
+SOON = 0.1  # seconds after which the first bytes of an answer of unknown length go on
+STANDS = 8.0  # seconds without a byte after which a long body stands still for good
 MOST_INTERIM = 8  # 1xx answers ahead of the one that counts
 IDLE_SHARE = 0.6  # of the worker's idle time-out: later, a request could cross the worker's closing
 HOP_BY_HOP = frozenset((
@@ -63,13 +71,16 @@
     """One try at a worker: written at most once, finished exactly once."""
 
     __slots__ = ("request", "number", "worker", "head", "body", "deadline", "began", "report", "done",
-                 "connection", "timer")
+                 "connection", "timer", "begins", "wrote", "first")
 
-    def __init__(self, request: str, number: int, worker: str, head: bytes, body: bytes, deadline: float,
-                 began: float, report: Callable[[Attempt, str, Answer | None], None]) -> None:
+    def __init__(self, request: str, number: int, worker: str, head: bytes, body: bytes | Body, deadline: float,
+                 began: float, report: Callable[[Attempt, str, Answer | None], None],
+                 begins: Callable[[Attempt, Answer, int | None, Connection], Sink | None] | None = None,
+                 wrote: Callable[[Attempt], None] | None = None) -> None:
         self.request, self.number, self.worker = request, number, worker
         self.head, self.body, self.deadline, self.began = head, body, deadline, began
-        self.report = report
+        self.report, self.begins, self.wrote = report, begins, wrote
+        self.first: float | None = None  # when a long answer began
         self.done = False
         self.connection: Connection | None = None
         self.timer: asyncio.TimerHandle | None = None
@@ -95,9 +106,14 @@
             connection.close()
         self.finish(status)
 
+    def written(self) -> bool:
+        """Whether the worker has all of the request."""
+        return self.connection is not None and self.connection.wrote_all
+
     def message(self, now: float) -> bytes:
-        """The request as it goes to the worker, with what is left of its time."""
-        return b"%bX-Timeout: %.3f\r\n\r\n%b" % (self.head, max(0.001, self.deadline - now), self.body)
+        """The request as it goes to the worker, with what is left of its time; a long body follows by itself."""
+        body = self.body if isinstance(self.body, bytes) else b""
+        return b"%bX-Timeout: %.3f\r\n\r\n%b" % (self.head, max(0.001, self.deadline - now), body)
 
 
 class Process:
@@ -125,7 +141,8 @@
 
     __slots__ = ("_pool", "process", "attempt", "transport", "task", "idle_since", "_age", "_parser",
                  "_answer", "_body", "_size", "_unread", "_interim", "_written", "_headed", "_framed",
-                 "_ends", "_complete", "_reusable", "_closed", "_adopted")
+                 "_ends", "_complete", "_reusable", "_closed", "_adopted", "_source", "_place", "_sink", "_length",
+                 "_moved", "_held", "_timer")
 
     def __init__(self, pool: Workers, process: Process, attempt: Attempt | None) -> None:
         self._pool, self.process = pool, process
@@ -142,6 +159,13 @@
     def _reset(self) -> None:
         self._answer = Answer()
         self._body: list[bytes] = []
+        self._source: Body | None = None  # a long request that is being written
+        self._place = 0  # its next block
+        self._sink: Sink | None = None  # where a long answer goes
+        self._length: int | None = None  # of the answer's body, as announced
+        self._held = False  # the sink takes no more for now
+        self._moved = 0.0  # when a long body last moved
+        self._timer: asyncio.TimerHandle | None = None
         self._size = self._unread = self._interim = 0
         self._written = self._headed = self._framed = self._ends = self._complete = False
         self._reusable = True
@@ -170,18 +194,84 @@
         attempt.connection = self
         transport = cast(asyncio.Transport, self.transport)
         transport.write(attempt.message(self._pool.loop.time()))
+        if isinstance(attempt.body, Body):
+            self._source, self._place, self._moved = attempt.body, 0, self._pool.loop.time()
+            self._source.reader = self._feed
+            self._feed()
+            return
         self._written = not transport.is_closing() and transport.get_write_buffer_size() == 0
 
     def resume_writing(self) -> None:
-        """The last byte has left."""
+        """The last byte has left, or the last one so far."""
+        if self._source is not None:
+            self._moved = self._pool.loop.time()
+            self._feed()
+            return
         self._written = True
 
+    def _feed(self) -> None:
+        """Write what there is of a long request, as much at a time as the worker takes."""
+        source, transport = self._source, self.transport
+        if source is None or transport is None or transport.is_closing():
+            return
+        if source.broken:
+            self._end(i.UNREACHABLE)  # its client has gone, and the worker sees that it is not whole
+            return
+        while transport.get_write_buffer_size() <= FLOW:
+            block = source.read(self._place)
+            if block is None:
+                break
+            self._place += 1
+            if source.length is None:
+                transport.writelines((b"%x\r\n" % len(block), block, b"\r\n"))
+            else:
+                transport.write(block)
+        else:
+            return
+        if source.whole:
+            source.reader, self._source = None, None
+            if source.length is None:
+                transport.write(b"0\r\n\r\n")
+            if transport.get_write_buffer_size() == 0:
+                self._written = True
+            if (attempt := self.attempt) is not None and attempt.wrote is not None:
+                attempt.wrote(attempt)
+
+    @property
+    def wrote_all(self) -> bool:
+        """Whether all of the request is on its way."""
+        return self._source is None
+
+    def go_on(self) -> None:
+        """The client takes more of a long answer."""
+        if self._held and self.transport is not None and not self._closed:
+            self._held, self._moved = False, self._pool.loop.time()
+            self.transport.resume_reading()
+
+    def stop(self) -> None:
+        """Nobody is there for a long answer any more."""
+        self._sink = None
+        self._end(i.CANCELLED)
+
+    def stands(self, now: float) -> bool:
+        """Whether a long body has stood still for too long, by the worker's doing."""
+        if self._source is not None:
+            return (cast(asyncio.Transport, self.transport).get_write_buffer_size() > 0
+                    and now - self._moved > STANDS)
+        return self._sink is not None and not self._held and now - self._moved > STANDS
+
+    def give_up(self) -> None:
+        """A long body stands still: what the worker has of a request is not whole, what it began never will be."""
+        self._end(i.UNREACHABLE if self._source is not None else i.BROKEN)
+
     def data_received(self, data: bytes) -> None:
         """A piece of an answer, or something that nobody asked for."""
         if self.attempt is None or self._parser is None:
             self.close()  # Guards against stray bytes that would be taken for the next request's answer.
             return
         self._unread += len(data)
+        if self._sink is not None:
+            self._moved = self._pool.loop.time()
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
@@ -191,7 +281,7 @@
                 return
         if self._complete:
             self._finish()
-        elif self._unread > MAX_HEAD + (4 * self._pool.max_body if self._headed else 0):
+        elif self._sink is None and self._unread > MAX_HEAD + (4 * self._pool.max_body if self._headed else 0):
             # Guards the memory: the parser gathers a header to its end, and tells only then.
             self._end(i.SPOILT)
 
@@ -222,7 +312,7 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Keep a header; trailers count to the size and are left."""
         self._size += len(name) + len(value)
-        if self._size > MAX_HEAD + (self._pool.max_body if self._headed else 0):
+        if self._size > MAX_HEAD + (self._pool.max_body if self._headed and self._sink is None else 0):
             raise Oversize
         if self._headed:
             return
@@ -234,12 +324,12 @@
                 self._answer.used = float(value) / 100
         elif lower in HOP_BY_HOP:
             if lower == b"content-length":
-                self._framed = True
-                if int(value) > self._pool.max_body:
+                self._framed, self._length = True, int(value)
+                if self._length > self._pool.longest:
                     raise Oversize  # before any of it is read
             elif lower == b"transfer-encoding":
                 self._framed = True
-            elif lower == b"connection" and value.lower() == b"close":
+            elif lower == b"connection" and b"close" in [word.strip(b" \t") for word in value.lower().split(b",")]:
                 self._ends = True
         elif lower != b"x-server-load":
             self._answer.headers.append(b"%b: %b\r\n" % (name, value))
@@ -249,14 +339,52 @@
         if self._complete:
             return  # guards the answer against the status of a stray one behind it
         self._headed, self._unread = True, 0
-        self._answer.status = cast(httptools.HttpResponseParser, self._parser).get_status_code()
+        parser = cast(httptools.HttpResponseParser, self._parser)
+        self._answer.status = parser.get_status_code()
+        self._ends = self._ends or not self._framed and parser.get_http_version() == "1.0"
+        if self._length is not None and self._length > self._pool.max_body:
+            self._stream()  # its first bytes are waited for
 
     def on_body(self, data: bytes) -> None:
         """A piece of the body."""
+        if self._sink is not None:
+            self._size += len(data)
+            if self._size > MAX_HEAD + self._pool.longest:
+                raise Oversize
+            if not self._sink.more(data) and not self._held and self.transport is not None:
+                self._held = True
+                self.transport.pause_reading()
+            return
+        if self._complete:
+            return
         self._size += len(data)
-        if self._size > MAX_HEAD + self._pool.max_body:
-            raise Oversize
         self._body.append(data)
+        if self._length is None and not self._ends and self._timer is None and self._answer.status == 200:
+            # An answer of unknown length that is not here at once may be a long one: its first bytes count.
+            self._timer = self._pool.loop.call_later(SOON, self._stream)
+        if self._size > MAX_HEAD + self._pool.max_body:
+            self._stream()
+
+    def _stream(self) -> None:
+        """Pass the answer on from here as it comes. Oversize where it can't be."""
+        attempt = self.attempt
+        if self._sink is not None or self._complete or attempt is None or self._parser is None:
+            return
+        sink = None
+        if self._answer.status == 200 and attempt.begins is not None and not attempt.done:
+            self._sink = sink = attempt.begins(attempt, self._answer, self._length, self)
+        if sink is None:
+            if self._size > MAX_HEAD + self._pool.max_body or (self._length or 0) > self._pool.max_body:
+                raise Oversize
+            return
+        if attempt.timer is not None:
+            attempt.timer.cancel()
+        self._moved = self._pool.loop.time()
+        body, self._body = self._body, []
+        for data in body:
+            if not sink.more(data) and not self._held and self.transport is not None:
+                self._held = True
+                self.transport.pause_reading()
 
     def on_message_complete(self) -> None:
         """The answer is whole, unless it only announces another."""
@@ -268,9 +396,14 @@
                 raise Oversize
             self._answer = Answer()
             self._headed = self._framed = self._ends = False
-            self._unread = 0
+            self._unread, self._length = 0, None
             return
+        if self._timer is not None:
+            self._timer.cancel()
         self._complete = True
+        if self._sink is not None:
+            sink, self._sink = self._sink, None
+            sink.end()
         self._answer.body = b"".join(self._body)
         self._reusable = self._reusable and cast(
             httptools.HttpResponseParser, self._parser).should_keep_alive()
@@ -284,6 +417,8 @@
         self.attempt = None
         if reusable:
             self._pool.rest.tell(self._age, False)
+            if self._held and self.transport is not None:
+                self.transport.resume_reading()
             self._reset()
             self._pool.keep(self)
         else:
@@ -300,6 +435,9 @@
     def _end(self, status: str) -> None:
         attempt, self.attempt = self.attempt, None
         self.close()
+        sink, self._sink = self._sink, None
+        if sink is not None:
+            sink.cut()
         if attempt is not None:
             attempt.finish(status)
 
@@ -308,6 +446,11 @@
         if self._closed:
             return
         self._closed = True
+        if self._source is not None:
+            self._source.reader = None
+            self._source = None
+        if self._timer is not None:
+            self._timer.cancel()
         if self.transport is not None:
             self.transport.abort()
         elif self.task is not None:
@@ -329,8 +472,9 @@
     """All workers on the list, and the bound on connections to them."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, limit: int, connect_timeout: float,
-                 idle_close: float, drain_grace: float, max_body: int = MAX_BODY) -> None:
-        self.loop, self.max_body = loop, max_body
+                 idle_close: float, drain_grace: float, max_body: int = MAX_BODY,
+                 longest: int = LONGEST) -> None:
+        self.loop, self.max_body, self.longest = loop, max_body, max(longest, max_body)
         self._limit, self._connect_timeout, self._grace = limit, connect_timeout, drain_grace
         self.rest = Rest(IDLE_SHARE * idle_close, loop.time())
         self._processes: dict[str, Process] = {}
@@ -481,6 +625,8 @@
         """Close what has been idle for long, well before the worker would."""
         now = self.loop.time()
         self.rest.look(now)
+        for connection in [each for each in self._open if each.stands(now)]:
+            connection.give_up()
         limit = now - self.rest.limit
         for process in self._processes.values():
             while process.idle and process.idle[0].idle_since <= limit:
--- /dev/null
+++ b/oliveloft/bodies/__init__.py
@@ -0,0 +1,1 @@
+"""Long bodies on their way through the gatekeeper."""
--- a/oliveloft/front/http.py
+++ b/oliveloft/front/http.py
@@ -14,8 +14,10 @@
 import httptools
 
 from micagate import interface as i
+from micagate.bodies import keeping
 from micagate.operating.presence import Presence
-from oliveloft.backend.connections import HOP_BY_HOP, MAX_BODY, MAX_HEAD
+from oliveloft.backend.connections import HOP_BY_HOP, LONGEST, MAX_BODY, MAX_HEAD, STANDS, Connection
+from oliveloft.bodies.body import Body
 from oliveloft.gatekeeper.bridge import Bridge, Request
 
 log = logging.getLogger("oliveloft")
@@ -25,12 +27,14 @@
 SLOW = 2.5  # seconds that a client may take over sending a request, or over reading a reply
 LINGER = 0.5  # seconds that a turned-down client has to read the reply and to close
 LINGER_BYTES = 2 * MAX_BODY  # of the rest of a turned-down request that are read off in that time
+SENT = 128 * 1024  # bytes of a long answer that the system may take for a client that reads slowly
+HELD = 24 * 1024 * 1024  # bytes of long bodies that are held for further attempts, unless set otherwise
 MISTAKES = 3  # requests turned down on one connection, after which it is closed
 PIPELINE = 16  # requests held of one connection before it is read no further, or bytes of their bodies
 PIPELINE_BYTES = MAX_BODY
 SPARE = 24  # connections beyond the bound that still hear a refusal
 MOST_WEIGHTS = 256  # forms of X-Weight kept as read
-LONGEST = 86400.0  # seconds: a longer X-Timeout is absurd
+LONGEST_WAIT = 86400.0  # seconds: a longer X-Timeout is absurd
 
 VERSIONS = ("1.0", "1.1")
 DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
@@ -55,7 +59,8 @@
 class Incoming:
     """A request as it comes in."""
 
-    __slots__ = ("seen", "method", "url", "fields", "lines", "twice", "body", "size", "keep", "refusal")
+    __slots__ = ("seen", "method", "url", "fields", "lines", "twice", "body", "size", "keep", "refusal", "long",
+                 "length", "begun", "old")
 
     def __init__(self, seen: float) -> None:
         self.seen = seen  # when its last byte was seen, once it is whole: its time counts from there
@@ -68,6 +73,10 @@
         self.size = 0
         self.keep = True
         self.refusal: tuple[int, str] | None = None
+        self.long: Body | None = None  # a body that is passed on while it comes
+        self.length: int | None = None  # of the body, as announced
+        self.begun = False  # passed on, or answered, before it is whole
+        self.old = False  # HTTP/1.0
 
 
 class Client(asyncio.Protocol):
@@ -75,7 +84,7 @@
 
     __slots__ = ("_server", "_transport", "_parser", "_incoming", "_headed", "_queue", "_current", "_keep",
                  "_waiting", "_busy", "_paused", "_stopped", "_ended", "_mistakes", "_unread", "lingering",
-                 "since", "overflow", "good")
+                 "since", "overflow", "good", "_moved", "_held", "_source", "_chunked", "_old", "_owed", "_left")
 
     def __init__(self, server: Server) -> None:
         self._server = server
@@ -95,6 +104,12 @@
         self.since = 0.0  # when it became idle, or when the request on its way began
         self.overflow = False  # one too many: its first request is refused
         self.good = False  # it has sent a request that could be served
+        self._moved = 0.0  # when a body last moved
+        self._held = False  # it is read no further, for want of room for what it sends
+        self._source: Connection | None = None  # of a long answer on its way
+        self._owed = 0  # bytes of the budget that answers which the client has not read hold
+        self._left = 0  # bytes that waited for it at the last look
+        self._chunked = self._old = False  # how that goes out; whether its request was HTTP/1.0
         self._mistakes = 0  # requests of it that were turned down
         self._unread = 0  # bytes in which no message was whole, nor its head; then those of a given up client
 
@@ -109,9 +124,15 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """The client has left; what it asked for is owed no more."""
         self._transport = self._parser = None  # parser and protocol refer to each other
-        self._incoming = None
+        incoming, self._incoming = self._incoming, None
         self._queue.clear()
         current, self._current = self._current, None
+        source, self._source = self._source, None
+        if incoming is not None and incoming.long is not None:
+            incoming.long.drop()
+        if source is not None:
+            source.stop()
+        self._pay()
         self._server.left(self)
         if current is not None:
             self._server.bridge.abandon(current)
@@ -124,8 +145,22 @@
     def resume_writing(self) -> None:
         """The client reads again."""
         self._paused = False
+        self._moved = self._server.loop.time()
+        self._pay()
+        if self._source is not None:
+            self._source.go_on()
         self._next()
 
+    def _pay(self) -> None:
+        """Give back what the client has read of long answers."""
+        left = self._transport.get_write_buffer_size() if self._transport is not None else 0
+        if left < self._left:
+            self._moved = self._server.loop.time()
+        self._left = left
+        if (read := self._owed - left) > 0:
+            self._owed -= read
+            self._server.budget.give(read)
+
     def data_received(self, data: bytes) -> None:
         """A piece of a request, or several requests."""
         if self._stopped or self._parser is None:
@@ -136,9 +171,14 @@
                 self._transport.pause_reading()
             return
         self._unread += len(data)
+        if self._headed:
+            self._moved = self._server.loop.time()
         try:
             self._parser.feed_data(data)
             # Guards the memory: the parser gathers a header or trailer to its end, and tells only then.
+            long = self._incoming is not None and (self._incoming.long is not None or self._incoming.begun)
+            if long:
+                self._unread = 0  # a bound of its own holds
             if self._unread > MAX_HEAD + 4 * MAX_BODY or (self._unread > 2 * MAX_HEAD and not self._headed):
                 self._turn_down(431, "head too large")
         except httptools.HttpParserUpgrade:
@@ -197,8 +237,14 @@
         if coding is not None and (coding.lower() != b"chunked" or parser.get_http_version() == "1.0"):
             raise BadRequest(501, "Transfer-Encoding")  # the parser lets more through than is decoded here
         length = incoming.fields.get(b"content-length")
-        if length is not None and int(length) > MAX_BODY:
-            raise BadRequest(413, "body too large")
+        incoming.old = parser.get_http_version() == "1.0"
+        self._moved = self._server.loop.time()
+        if length is not None:
+            incoming.length = int(length)
+            if incoming.length > self._server.longest:
+                raise BadRequest(413, "body too large")
+            if incoming.length > MAX_BODY:
+                self._long(incoming)
         if (incoming.fields.get(b"expect", b"").lower() == b"100-continue" and not self._busy
                 and self._transport is not None):
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -207,9 +253,57 @@
         """A piece of the body."""
         incoming = cast(Incoming, self._incoming)
         incoming.size += len(data)
-        if incoming.size > MAX_BODY:
+        if incoming.size > MAX_BODY and incoming.long is None:
+            self._long(incoming)
+        if incoming.long is None:
+            incoming.body.append(data)
+            return
+        if incoming.size > self._server.longest:
             raise BadRequest(413, "body too large")
-        incoming.body.append(data)
+        incoming.long.append(data)
+        self._pass_on(incoming)
+
+    def _long(self, incoming: Incoming) -> None:
+        """A body turns out to be long: what has come of it is held under the bound on all such."""
+        incoming.long = Body(self._server.budget, incoming.length)
+        incoming.long.drained = self._drained
+        for piece in incoming.body:
+            incoming.long.append(piece)
+        incoming.body.clear()
+
+    def _pass_on(self, incoming: Incoming) -> None:
+        """Begin with a long request before it is whole, if it is time, and hold its sender where it can't go on."""
+        body = incoming.long
+        if body is None:
+            return
+        if not incoming.begun and not self._busy and not self._queue and keeping.begins(
+                body.size, False, body.scarce):
+            incoming.seen = self._server.loop.time()
+            incoming.begun, incoming.keep = True, cast(
+                httptools.HttpRequestParser, self._parser).should_keep_alive()
+            self._busy, self._keep = True, incoming.keep and not self.overflow
+            try:
+                self._begin(incoming)
+            except BadRequest as error:
+                # Answered at once; what still comes is read off and left.
+                body.drop()
+                self._reject(error.status, str(error))
+        if not body.reads_on() and not self._held and self._transport is not None:
+            self._held = True
+            self._transport.pause_reading()
+            self._server.budget.wait(self._drained)
+
+    def _drained(self) -> None:
+        """There is room again for what a client sends."""
+        incoming = self._incoming
+        if not self._held or self._transport is None:
+            return
+        if incoming is not None and incoming.long is not None and not incoming.long.reads_on():
+            if not self._paused:
+                self._server.budget.wait(self._drained)
+            return
+        self._held, self._moved = False, self._server.loop.time()
+        self._transport.resume_reading()
 
     def on_message_complete(self) -> None:
         """A request is whole."""
@@ -217,6 +311,11 @@
         incoming.seen = self._server.loop.time()
         incoming.keep = cast(httptools.HttpRequestParser, self._parser).should_keep_alive()
         self._headed, self._unread = False, 0
+        if incoming.long is not None:
+            incoming.long.finish()
+        if incoming.begun:
+            self._sent_whole()
+            return
         self._queue.append(incoming)
         self._next()
         if self._queue:
@@ -224,6 +323,17 @@
         if (len(self._queue) >= PIPELINE or self._waiting >= PIPELINE_BYTES) and self._transport is not None:
             self._transport.pause_reading()  # guards the memory: what waits here is bounded
 
+    def _sent_whole(self) -> None:
+        """The last byte of a request that was begun before has come."""
+        if self._current is not None:
+            self._server.bridge.whole(self._current)
+        elif not self._busy:  # it was answered before
+            self.since = self._server.loop.time()
+            if self._keep and not self._ended:
+                self._next()
+            elif self._transport is not None:
+                self._transport.close()
+
     # Serving.
 
     def _turn_down(self, status: int, why: str) -> None:
@@ -231,6 +341,13 @@
         self._stopped, self._parser, self._unread = True, None, 0
         incoming = self._incoming or Incoming(self._server.loop.time())
         self._incoming = None
+        if incoming.long is not None:
+            incoming.long.drop()
+        if incoming.begun:
+            # It was passed on in part: whoever has that sees that it is not whole, and the client a close.
+            if self._transport is not None:
+                self._transport.abort()
+            return
         incoming.refusal, incoming.keep = (status, why), False
         self._queue.append(incoming)
         self._next()
@@ -251,6 +368,8 @@
                 self._begin(incoming)
             except BadRequest as error:
                 self._reject(error.status, str(error))
+        if self._incoming is not None and self._incoming.long is not None and not self._ended:
+            self._pass_on(self._incoming)
 
     def _begin(self, incoming: Incoming) -> None:
         path, _, query = incoming.url.partition(b"?")
@@ -275,7 +394,9 @@
             self.reply(503, b"Retry-After: 0.1\r\n", b"")
             return
         # A reply may come before `submit` returns; then there is nothing left to abandon.
-        request = server.bridge.submit(event, head, b"".join(incoming.body), deadline, self.reply)
+        self._old = incoming.old
+        body = b"".join(incoming.body) if incoming.long is None else incoming.long
+        request = server.bridge.submit(event, head, body, deadline, self.reply, self)
         if not request.ended:
             self._current = request
 
@@ -298,6 +419,9 @@
         transport = self._transport
         if transport is None:
             return
+        coming = self._incoming if self._incoming is not None and self._incoming.begun else None
+        if coming is not None and coming.long is not None:
+            coming.long.drop()  # the rest is read off and left
         hands = self._server.hand is not None
         keep = self._keep and (hands or not self._server.closing and not self._server.presence.closes())
         self.since = self._server.loop.time()
@@ -306,11 +430,15 @@
         transport.write(b"HTTP/1.1 %d %b\r\n%bContent-Length: %d\r\n%b\r\n%b" % (
             status, REASONS[status], headers, len(body), b"" if keep else b"Connection: close\r\n", body))
         if keep:
-            if self._queue:
+            if self._queue or self._incoming is not None and coming is None:
                 self._server.loop.call_soon(self._next)
             elif hands:
                 self._server.loop.call_soon(self.hand)
             return
+        if coming is not None:
+            self.lingering = False  # closed once all of the request has come: a reset could take the reply away
+            self._ended = True
+            return
         self._stopped = self._ended = True
         self._queue.clear()
         if self.lingering:
@@ -319,6 +447,72 @@
         else:
             transport.close()
 
+    # A long answer, as it comes.
+
+    def begin(self, headers: bytes, length: int | None, source: Connection) -> None:
+        """The answer begins, of this many bytes if that is known."""
+        self._current = None
+        transport = self._transport
+        if transport is None:
+            source.stop()
+            return
+        self._source, self._moved = source, self._server.loop.time()
+        # Else the system takes so much that a slow reader's progress shows only every ten seconds or more.
+        transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SENT)
+        self._chunked = length is None and not self._old
+        if length is None and self._old:
+            self._keep = False  # the close ends it
+        if self._server.closing or self._server.presence.closes():
+            self._keep = self._keep and self._server.hand is not None
+        framing = b"Transfer-Encoding: chunked\r\n" if self._chunked else (
+            b"Content-Length: %d\r\n" % length if length is not None else b"")
+        transport.write(b"HTTP/1.1 200 OK\r\n%b%b%b\r\n" % (
+            headers, framing, b"" if self._keep else b"Connection: close\r\n"))
+
+    def more(self, data: bytes) -> bool:
+        """A piece of the answer; whether the client takes more at once."""
+        transport = self._transport
+        if transport is None or not data:
+            return True
+        if self._chunked:
+            transport.writelines((b"%x\r\n" % len(data), data, b"\r\n"))
+        else:
+            transport.write(data)
+        if not self._paused:
+            return True
+        # What the client has not read yet is held here as far as there is room: the worker, and its customer's place,
+        # are free sooner.
+        if not self._server.budget.take(len(data)):
+            return False
+        self._owed += len(data)
+        return True
+
+    def end(self) -> None:
+        """The answer is whole."""
+        self._source = None
+        self._busy = False
+        transport = self._transport
+        if transport is None:
+            return
+        if self._chunked:
+            transport.write(b"0\r\n\r\n")
+        self.since = self._server.loop.time()
+        if self.good:
+            self._server.rested(self)
+        if not self._keep or self._server.closing and self._server.hand is None:
+            self._stopped = self._ended = True
+            transport.close()
+        elif self._queue:
+            self._server.loop.call_soon(self._next)
+        elif self._server.hand is not None:
+            self._server.loop.call_soon(self.hand)
+
+    def cut(self) -> None:
+        """The answer never will be whole: the client sees its connection end before."""
+        self._source = None
+        if self._transport is not None:
+            self._transport.abort()
+
     def hand(self) -> None:
         """Give the connection to the process that serves now, unless something of a request is on it.
 
@@ -354,7 +548,16 @@
         waited = now - self.since
         if self._transport is None or self.lingering:
             return
-        if self._paused or self._transport.is_closing():
+        if self._paused or self._owed:
+            self._pay()
+        if self._source is not None or self._owed:
+            if self._paused and now - self._moved > STANDS:
+                self.abort()  # a client that reads nothing of a long answer
+        elif self._incoming is not None and self._headed:
+            # A body is judged by its progress, but not while it is held here for want of room.
+            if not self._held and now - self._moved > SLOW:
+                self._turn_down(408, "the body stands still")
+        elif self._paused or self._transport.is_closing():
             if waited > SLOW:
                 self.abort()  # guards memory and descriptors against a client that does not read
         elif self.idle():
@@ -368,9 +571,11 @@
     """All client connections, and the bound on them."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, settings: i.Settings, units_top: float, limit: int,
-                 kept: int, bridge: Bridge, presence: Presence | None = None) -> None:
+                 kept: int, bridge: Bridge, presence: Presence | None = None, longest: int = LONGEST,
+                 held: int = HELD) -> None:
         self.loop, self.bridge = loop, bridge
         self.presence = Presence() if presence is None else presence
+        self.longest, self.budget = max(longest, MAX_BODY), keeping.Budget(held)
         self.closing = False  # every further reply closes its connection
         self.emptied: asyncio.Event = asyncio.Event()
         self._limit, self._kept = limit, kept
@@ -511,14 +716,14 @@
             raise BadRequest(400, "X-Priority-Class")  # the class stands in both places
         if incoming.method != (b"GET" if klass.effect == i.PURE else b"POST"):
             raise BadRequest(405, "method")
-        if incoming.body and klass.effect == i.PURE:
+        if (incoming.body or incoming.long is not None) and klass.effect == i.PURE:
             raise BadRequest(400, "body")
         if incoming.twice:
             raise BadRequest(400, incoming.twice.decode("latin-1"))
         name, timeout = fields.get(b"x-request-id", b""), fields.get(b"x-timeout", b"")
         if not NAME.fullmatch(name):
             raise BadRequest(400, "X-Request-ID")
-        if not DECIMAL.fullmatch(timeout) or float(timeout) > LONGEST:
+        if not DECIMAL.fullmatch(timeout) or float(timeout) > LONGEST_WAIT:
             raise BadRequest(400, "X-Timeout")
         plan = fields.get(b"x-tariff", b"")
         if plan not in self._plans:
@@ -540,10 +745,17 @@
         event = i.Request(
             request=request, klass=named.decode(), plan=plan.decode(), customer=customers[0].decode().lower(),
             time_left=max(0.0, deadline - now), units=units, spread=spread,
-            repeat=fields.get(b"x-retried") == b"1", first=set_first)
+            repeat=fields.get(b"x-retried") == b"1", first=set_first,
+            whole=incoming.long is None or incoming.long.whole)
         target = path + b"?" + query
-        length = b"Content-Length: %d\r\n" % sum(map(len, incoming.body)) if incoming.method == b"POST" \
-            or incoming.body else b""
+        size = sum(map(len, incoming.body))
+        if incoming.long is not None:
+            if incoming.long.whole:
+                incoming.long.length = incoming.long.size
+            size = incoming.long.length or 0
+        length = b"Content-Length: %d\r\n" % size if incoming.method == b"POST" or size else b""
+        if incoming.long is not None and incoming.long.length is None:
+            length = b"Transfer-Encoding: chunked\r\n"
         head = b"%b %b HTTP/1.1\r\n%b%b" % (incoming.method, target, b"".join(incoming.lines), length)
         return event, head, deadline
 
--- a/oliveloft/gatekeeper/bridge.py
+++ b/oliveloft/gatekeeper/bridge.py
@@ -9,10 +9,12 @@
 import logging
 from collections import deque
 from collections.abc import Callable
+from typing import Protocol
 
 from micagate import interface as i
 from micagate.gateway import Gateway
-from oliveloft.backend.connections import Answer, Attempt, Endpoint, Workers
+from oliveloft.backend.connections import Answer, Attempt, Connection, Endpoint, Workers
+from oliveloft.bodies.body import Body
 from oliveloft.counter.client import Counter
 from oliveloft.discovery.watch import News
 
@@ -21,15 +23,35 @@
 Reply = Callable[[int, bytes, bytes], None]  # status, header lines, body
 
 
+class Sink(Protocol):
+    """Where a long answer goes."""
+
+    def begin(self, headers: bytes, length: int | None, source: Connection) -> None:
+        """The answer begins, of this many bytes if that is known; the source hears `go_on` when it takes more
+        again, and `stop` when nobody is there any more."""
+
+    def more(self, data: bytes) -> bool:
+        """A piece of it; whether it takes more at once."""
+
+    def end(self) -> None:
+        """It is whole."""
+
+    def cut(self) -> None:
+        """It never will be: the client is to see that."""
+
+
 class Request:
     """A client's request until its final reply is out and its attempts have ended."""
 
     __slots__ = ("event", "head", "body", "deadline", "reply", "attempts", "ended", "out", "timer",
-                 "timers")
+                 "timers", "sink", "told")
 
-    def __init__(self, event: i.Request, head: bytes, body: bytes, deadline: float, reply: Reply) -> None:
+    def __init__(self, event: i.Request, head: bytes, body: bytes | Body, deadline: float, reply: Reply,
+                 sink: Sink | None = None) -> None:
         self.event, self.head, self.body, self.deadline = event, head, body, deadline
         self.reply: Reply | None = reply
+        self.sink = sink  # where a long answer may go
+        self.told = event.whole  # that it is whole
         self.attempts: list[Attempt] = []
         self.out = 0
         self.ended = False
@@ -56,15 +78,62 @@
         """Whether a request of this id is still held, or an attempt of it still out."""
         return name in self._requests
 
-    def submit(self, event: i.Request, head: bytes, body: bytes, deadline: float, reply: Reply) -> Request:
-        """Take in a request; `reply` is called once unless the client leaves before."""
-        request = self._requests[event.request] = Request(event, head, body, deadline, reply)
-        request.timer = self._loop.call_at(deadline, self._expired, request)
+    def submit(self, event: i.Request, head: bytes, body: bytes | Body, deadline: float, reply: Reply,
+               sink: Sink | None = None) -> Request:
+        """Take in a request; `reply` is called once unless the client leaves before, or a long answer began."""
+        request = self._requests[event.request] = Request(event, head, body, deadline, reply, sink)
+        if event.whole:
+            request.timer = self._loop.call_at(deadline, self._expired, request)
         self._hand(event, event.request)
         return request
 
+    def whole(self, request: Request) -> None:
+        """The last byte of a request has come: its time counts from now."""
+        if request.ended:
+            return
+        request.deadline = self._loop.time() + request.event.time_left
+        request.timer = self._loop.call_at(request.deadline, self._expired, request)
+        out = next((attempt for attempt in request.attempts if not attempt.done), None)
+        if out is not None:
+            out.deadline = request.deadline
+            if not out.written():
+                return  # told once the worker has it all
+        self._told(request)
+
+    def _told(self, request: Request) -> None:
+        if not request.told:
+            request.told = True
+            kept = not isinstance(request.body, Body) or request.body.kept
+            self._hand(i.Whole(request.event.request, kept), request.event.request)
+
+    def _written(self, attempt: Attempt) -> None:
+        """A worker has all of a request."""
+        request = self._requests.get(attempt.request)
+        if request is not None and not request.ended and isinstance(request.body, Body) and request.body.whole:
+            attempt.began = self._loop.time()  # a worker begins with the last byte
+            self._told(request)
+
+    def _begins(self, attempt: Attempt, answer: Answer, length: int | None, source: Connection) -> Sink | None:
+        """A long answer begins: where it goes, or None where nobody takes it."""
+        request = self._requests[attempt.request]
+        sink = request.sink
+        if request.ended or sink is None:
+            return None
+        if request.timer is not None:
+            request.timer.cancel()  # it flows as long as the worker gives
+            request.timer = None
+        request.reply, request.sink, request.ended = None, None, True
+        name = attempt.request
+        attempt.first = self._loop.time()
+        self._hand(i.StreamStarted(name, attempt.number, attempt.worker, attempt.first - attempt.began), name)
+        sink.begin(b"".join(answer.headers), length, source)
+        return sink
+
     def abandon(self, request: Request) -> None:
-        """The client has left."""
+        """The client has left. What it has not sent whole can't go on: a worker sees that, and has run nothing."""
+        if isinstance(request.body, Body) and not request.body.whole:
+            for attempt in request.attempts:
+                attempt.give_up(i.CANCELLED)
         if not request.ended:
             self._close(request)
             self._hand(i.Abandoned(request.event.request), request.event.request)
@@ -170,11 +239,12 @@
         if request is None:
             log.error("the module sent %s, which is not held", name)
             return
-        attempt = Attempt(name, len(request.attempts), worker, request.head, request.body, request.deadline,
-                          now, self._reported)
+        deadline = request.deadline if request.told else now + request.event.time_left
+        attempt = Attempt(name, len(request.attempts), worker, request.head, request.body, deadline, now,
+                          self._reported, self._begins, self._written)
         request.attempts.append(attempt)
         request.out += 1
-        if (request.ended or now >= request.deadline or attempt.number >= self._settings.max_attempts
+        if (request.ended or request.told and now >= request.deadline or attempt.number >= self._settings.max_attempts
                 or (request.out > 1 and not self._settings.second_copies)):
             attempt.finish(i.VOID)
             return
@@ -193,7 +263,8 @@
             self._end(request, 200, b"".join(answer.headers), answer.body)
         outcome = i.Outcome(
             request=attempt.request, attempt=attempt.number, worker=attempt.worker, status=status,
-            terminal=request.ended, took=self._loop.time() - attempt.began,
+            terminal=request.ended, kept=not isinstance(request.body, Body) or request.body.kept,
+            took=(attempt.first or self._loop.time()) - attempt.began,  # of a long one, until it began
             used=answer.used if answer is not None else None)
         if self.ended is not None:
             self.ended(attempt, outcome)
@@ -225,6 +296,8 @@
     def _forget(self, request: Request) -> None:
         """Drop a request that is over."""
         if request.ended and not request.out:
+            if isinstance(request.body, Body):
+                request.body.drop()
             if request.timer is not None:
                 request.timer.cancel()
                 request.timer = None
--- a/oliveloft/gatekeeper/process.py
+++ b/oliveloft/gatekeeper/process.py
@@ -57,7 +57,8 @@
     loop = asyncio.get_running_loop()
     room = max(16, config.sockets - RESERVE - (CALLERS if config.management is not None else 0))
     clients = int(room * CLIENT_SHARE)
-    workers = Workers(loop, room - clients, config.connect_timeout, config.idle_close, config.drain_grace)
+    workers = Workers(loop, room - clients, config.connect_timeout, config.idle_close, config.drain_grace,
+                      longest=config.longest)
     offset = time.time() - loop.time()  # once: a worker's start must be the same in every list
     counter = None
     if config.counter is not None and config.settings.counter_wait:
@@ -66,7 +67,8 @@
     bridge = Bridge(loop, config.settings, gateway, workers, counter)
     kept = int(config.sockets * KEPT_SHARE)
     presence = Presence()
-    server = Server(loop, config.settings, config.units_top, clients, kept, bridge, presence)
+    server = Server(loop, config.settings, config.units_top, clients, kept, bridge, presence, config.longest,
+                    config.held)
     place: Place | None = None
     shared = os.environ.get("TMPDIR") if config.accept_fd is not None else None
     if shared:  # another process may take this one's place, or this one another's; else nothing of it is loaded
--- /dev/null
+++ b/rig/bulk.py
@@ -0,0 +1,210 @@
+"""Long bodies for tests and benchmarks: a worker that gives and takes them at a pace, and a client that does.
+
+A body is a run of bytes that tells where it is cut, repeated or mixed with another: each 4 KiB block holds its number
+and the body's name.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import zlib
+from typing import Any, Self
+
+from rig.scripted import Listener, Message
+
+BLOCK = 4096
+
+
+def block(name: str, number: int) -> bytes:
+    """Block `number` of a body."""
+    return f"{name}:{number}|".encode().ljust(BLOCK, b".")
+
+
+def piece(name: str, first: int, size: int) -> bytes:
+    """`size` bytes of a body from `first` on."""
+    start, end = first // BLOCK, -(-(first + size) // BLOCK)
+    whole = b"".join(block(name, number) for number in range(start, end))
+    return whole[first - start * BLOCK:first - start * BLOCK + size]
+
+
+def check(name: str, size: int) -> int:
+    """The checksum of a body."""
+    total = 0
+    for first in range(0, size, 1 << 20):
+        total = zlib.crc32(piece(name, first, min(1 << 20, size - first)), total)
+    return total
+
+
+async def take(reader: asyncio.StreamReader, headers: dict[str, str], pace: float = 0.0) -> tuple[int, int, bool]:
+    """Read a body off, at most `pace` bytes a second if that is set: its size and checksum, and whether it is whole."""
+    size = total = 0
+    chunked = "chunked" in headers.get("transfer-encoding", "")
+    left = int(headers["content-length"]) if "content-length" in headers else None
+    try:
+        while True:
+            if chunked:
+                length = int((await reader.readuntil(b"\r\n")).split(b";")[0], 16)
+                if not length:
+                    await reader.readuntil(b"\r\n")
+                    return size, total, True
+                data = await reader.readexactly(length)
+                await reader.readexactly(2)
+            else:
+                if left is not None and size >= left:
+                    return size, total, True
+                data = await reader.read(65536 if left is None else min(65536, left - size))
+                if not data:
+                    return size, total, left is None
+            size, total = size + len(data), zlib.crc32(data, total)
+            if pace:
+                await asyncio.sleep(len(data) / pace)
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return size, total, False
+
+
+async def head(reader: asyncio.StreamReader) -> Message | None:
+    """The next message's head, or None at the end of the connection."""
+    try:
+        text = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return None
+    first, *lines = text[:-4].split("\r\n")
+    return Message(first, {name.lower(): value.strip() for name, _, value in (
+        line.partition(":") for line in lines)}, b"")
+
+
+class BulkWorker(Listener):
+    """A worker of long bodies. What a request wants of it stands in its query: `give` bytes at `pace` a second,
+    `framing` length, chunked or close; `stall` or `break` after so many bytes; `read` the pace of its reading;
+    `turn=N` turns away its first N tries, `cut=N` breaks them in the middle of the request."""
+
+    _tries: dict[str, int] = {}  # of each request, at all workers
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.took: list[tuple[str, int, int, bool]] = []  # id, bytes, checksum, whole
+        self.connections = 0
+
+    async def start(self) -> Self:
+        """Listen, with little room in the system for what is not read yet: else that takes a whole body."""
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+        sock.bind(("127.0.0.1", self.port))
+        self._server = await asyncio.start_server(self._serve, sock=sock)
+        self.port = sock.getsockname()[1]
+        return self
+
+    def entry(self, **changes: Any) -> dict[str, Any]:
+        """Its line in discovery's list."""
+        return {"name": self.name, "address": f"127.0.0.1:{self.port}", "zone": "a", "type": "m", "group": 0,
+                "status": "up", "weight": 1.0, "since_ms": 0, **changes}
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        with contextlib.suppress(asyncio.CancelledError, ConnectionError):
+            while (request := await head(reader)) is not None:
+                if not await self._one(request, reader, writer):
+                    break
+        writer.close()
+
+    async def _one(self, request: Message, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
+        query = dict(part.partition("=")[::2] for part in request.first.split(" ")[1].partition("?")[2].split("&"))
+        name = request.headers["x-request-id"]
+        number = self._tries[name] = self._tries.get(name, 0) + 1
+        if number <= int(query.get("cut", 0)):
+            await reader.read(100_000)
+            writer.transport.abort()
+            return False
+        framed = "content-length" in request.headers or "transfer-encoding" in request.headers
+        size, total, whole = await take(reader, request.headers if framed else {"content-length": "0"},
+                                        float(query.get("read", 0)))
+        self.took.append((name, size, total, whole))
+        if not whole:
+            return False
+        if number <= int(query.get("turn", 0)):
+            writer.write(b"HTTP/1.1 503 X\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n")
+            return True
+        return await give(writer, name, query)
+
+
+async def give(writer: asyncio.StreamWriter, name: str, query: dict[str, str]) -> bool:
+    """Write an answer as a query wants it; whether the connection goes on."""
+    size, pace, framing = int(query.get("give", 4)), float(query.get("pace", 0)), query.get("framing", "length")
+    stop = int(query.get("stall", query.get("break", size)))
+    writer.write(b"HTTP/1.1 200 OK\r\n" + {
+        "length": b"Content-Length: %d\r\n" % size, "chunked": b"Transfer-Encoding: chunked\r\n",
+        "close": b"Connection: close\r\n"}[framing] + b"\r\n")
+    step = int(query.get("step", 65536))
+    for first in range(0, stop, step):
+        data = piece(name, first, min(step, stop - first))
+        writer.write(b"%x\r\n%b\r\n" % (len(data), data) if framing == "chunked" else data)
+        await writer.drain()
+        if pace:
+            await asyncio.sleep(len(data) / pace)
+    if "stall" in query:
+        await asyncio.sleep(60)
+    if "break" in query:
+        writer.transport.abort()
+        return False
+    if framing == "chunked":
+        writer.write(b"0\r\n\r\n")
+    return framing != "close"
+
+
+class BulkClient:
+    """A client of long bodies, over one connection."""
+
+    made = 0
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader, self.writer = reader, writer
+
+    @classmethod
+    async def connect(cls, port: int, window: int = 0) -> BulkClient:
+        """Connect; `window` bounds what the reader takes ahead."""
+        return cls(*await asyncio.open_connection("127.0.0.1", port, **({"limit": window} if window else {})))
+
+    async def ask(self, klass: str = "write", size: int = 0, want: str = "", chunked: bool = False, pace: float = 0.0,
+                  read: float = 0.0, step: int = 65536, stop: int | None = None, plan: str = "free",
+                  timeout: float = 3.0) -> tuple[int, str, int, int, bool]:
+        """Send a request and read its answer: status, id, size and checksum of the answer, and whether it is whole.
+
+        The body has `size` bytes, goes at `pace` bytes a second in steps, and stops after `stop`; `want` is the
+        query for the worker; the answer is read at `read` bytes a second.
+        """
+        BulkClient.made += 1
+        name = f"bulk{BulkClient.made}"
+        framing = "Transfer-Encoding: chunked\r\n" if chunked else f"Content-Length: {size}\r\n"
+        self.writer.write((
+            f"{'GET' if klass == 'read' else 'POST'} /{klass}?customer={BulkClient.made:016x}&{want} HTTP/1.1\r\n"
+            f"Host: x\r\nX-Request-ID: {name}\r\nX-Priority-Class: {klass}\r\nX-Tariff: {plan}\r\n"
+            f"X-Timeout: {timeout}\r\nX-Weight: units=1,spread=1,first=0\r\n"
+            f"{'' if klass == 'read' else framing}\r\n").encode())
+        sending = asyncio.create_task(self._send(name, size, chunked, pace, step, size if stop is None else stop))
+        try:
+            answer = await head(self.reader)
+            if answer is None:
+                return 0, name, 0, 0, False
+            got, total, whole = await take(self.reader, answer.headers, read)
+            return answer.status, name, got, total, whole
+        finally:
+            sending.cancel()
+            with contextlib.suppress(asyncio.CancelledError, ConnectionError):
+                await sending
+
+    async def _send(self, name: str, size: int, chunked: bool, pace: float, step: int, stop: int) -> None:
+        for first in range(0, stop, step):
+            data = piece(name, first, min(step, stop - first))
+            self.writer.write(b"%x\r\n%b\r\n" % (len(data), data) if chunked else data)
+            await self.writer.drain()
+            if pace:
+                await asyncio.sleep(len(data) / pace)
+        if chunked and stop == size:
+            self.writer.write(b"0\r\n\r\n")
+            await self.writer.drain()
+
+    def close(self) -> None:
+        """End the connection at once."""
+        self.writer.transport.abort()
