Take a slow sender's time for no sign of load

Seen: 300 uploads that stall and are given up after 2.5 s put control on, and every usual request after them was refused. An attempt that ends before its request is whole told its age as lateness (Gateway._outcome, _late). Ruled out: the worker's health (it is not told of such attempts) and room for connections (22 in use). With its test, and a table of what may follow by class, by what is kept and by what is known of the attempt.

--- a/micagate/gateway.py
+++ b/micagate/gateway.py
@@ -301,7 +301,7 @@
         if event.status in (i.FULL, i.TIMED_OUT):
             if not attempt.signalled and (event.status == i.FULL or not self.fleet.recent.lossy()):
                 self.throttle.signal(now, attempt.worker, attempt.account.plan.name, attempt.sent)
-        else:
+        elif attempt.group.whole:  # else its time is that of whoever sends the request
             self._late(now, attempt, event.took)
         if pending is None:
             self._leave(attempt.group)
