Date the meter's readings by their answers' heads, and count no broken write as whole

Two causes: a reading was dated by the end of its answer, seconds after its head (Whole.reading), and an upload's units counted as sent when it began, before a worker has it whole (Quotas.take): both mislead what is learned of the meter's phase and lateness.

--- a/micagate/accounts.py
+++ b/micagate/accounts.py
@@ -38,14 +38,14 @@
         self.full_until = now  # a counted total has told that there is no room before
         self.out, self.took = 0, 0.0  # attempts out, and how long one is, on average; 0: none has ended
 
-    def metered(self, now: float, used: float, meter: Meter) -> None:
-        """A reading of the meter, averaged with those before where the meter's period is short.
+    def metered(self, now: float, used: float, meter: Meter, age: float = 0.0) -> None:
+        """A reading of the meter, `age` seconds old; averaged with those before where its period is short.
 
         Guards against coarse readings: one unit in a short period looks like many times the rate. The level
         of the whole store needs no average: it sums them.
         """
         if self.plan.rate:  # without one, readings are of what is out
-            self.whole.reading(now, used, meter)
+            self.whole.reading(now, used, meter, age)
         smooth = max(1e-9, SMOOTH - meter.period)
         self.readings += 1
         weight = max(1 - math.exp((self.read - now) / smooth), 1 / (1 + self.readings))
--- a/micagate/estimates/metering.py
+++ b/micagate/estimates/metering.py
@@ -230,22 +230,27 @@
         error = math.sqrt(meant * self.unit + (UNSURE * meant) ** 2)
         return self.level - DOUBTS[int(sure * 20)] * min(error, EVEN * self.burst)
 
-    def reading(self, now: float, used: float, meter: Meter) -> None:
+    def reading(self, now: float, used: float, meter: Meter, age: float = 0.0) -> None:
         """A reading of the meter, as a share of the rate: reckon in the period that it tells of, once.
 
+        `age` is how long ago it was written: an answer may take seconds to come. One that is older than the last
+        tells nothing more.
         Where the part is a sliver, even if the meter's times are not known: then readings are taken to be
         usually late. Guards against a customer that is met so seldom that nothing is ever learned. Harm: a
         period's own sends are taken for others', or the other way round.
         """
+        read = now - age
+        if self._read is not None and read < self._read[1]:
+            return
         if self._read is not None and self._read[0] != used:
-            meter.changed(self._read[1], now)
-        self._read = used, now
-        if (out := meter.out(now)) is not None and out > self._weighed + meter.period / 2:
+            meter.changed(self._read[1], read)
+        self._read = used, read
+        if (out := meter.out(read)) is not None and out > self._weighed + meter.period / 2:
             self._weighed = out
             meter.weigh(now, used, self.rate, self._times, self._sums)
-        end, period = meter.end(now), meter.period
+        end, period = meter.end(read), meter.period
         if end is None and period and self.sliver():
-            out = now - period / 2 if out is None else out
+            out = read - period / 2 if out is None else out
             end = out - LATENESS
         if out is None or end is None or self.told is not None and end <= self.told + period / 2:
             return
--- a/micagate/gateway.py
+++ b/micagate/gateway.py
@@ -165,7 +165,7 @@
 
     def _first(self, now: float, pending: Pending, worker: str, counted: bool = False) -> None:
         name, account = pending.request.request, pending.account
-        self.quotas.take(account, pending.request.units, pending.inside, counted)
+        self.quotas.take(account, pending.request.units, pending.inside, counted, pending.whole)
         self._pending[name] = pending
         self._send(now, pending, worker)
         if pending.whole:
@@ -197,6 +197,7 @@
         pending.whole, pending.kept, pending.deadline = True, kept, now + pending.request.time_left
         if not pending.attempts:
             return
+        self.quotas.arrived(now, pending.account, pending.request.units)
         pending.timer = self._set_timer(pending.request.time_left - self._s.tick, "deadline", name, 0)
         number = len(pending.attempts) - 1
         if not pending.attempts[number].status:
@@ -294,7 +295,7 @@
         attempt.end(event.took)
         self.quotas.took += (event.took - self.quotas.took) * (EACH if self.quotas.took else 1.0)
         if event.used is not None:
-            attempt.account.metered(now, event.used, self.quotas.meter)
+            attempt.account.metered(now, event.used, self.quotas.meter, event.used_age)
         self.fleet.returned(now, attempt.worker, key, attempt.klass, event.status, event.took)
         if event.status == i.SUCCESS and event.took > self._silence(attempt.klass):
             self.fleet.tails.came(now, event.took > attempt.klass.aim)
--- a/micagate/interface.py
+++ b/micagate/interface.py
@@ -164,6 +164,7 @@
     took: float
     used: float | None = None
     final_units: float = 0.0
+    used_age: float = 0.0  # how long ago `used` was told: an answer may take seconds to come whole
     kept: bool = True  # what a further attempt would need of the request is still there
 
 
--- a/micagate/quotas.py
+++ b/micagate/quotas.py
@@ -162,12 +162,18 @@
         surveyed, self._surveyed = self._surveyed or {}, {}
         return asked_of(surveyed.values())
 
-    def take(self, a: Account, units: float, inside: bool, counted: bool = False) -> None:
+    def take(self, a: Account, units: float, inside: bool, counted: bool = False, whole: bool = True) -> None:
         """Take a first attempt's units; they stay taken even where it proves void, which is rare."""
-        most = int(a.plan.at_once)
-        place = a.whole.places(a.out, a.took or self.took, most) if most else 1.0
-        a.whole.sent(a.at, units, self.meter.period / BINS, place)
+        if whole:
+            self.arrived(a.at, a, units)
         if a.plan.ceiling_rate and not counted:
             a.ceiling -= units
         if inside and a.plan.rate:
             a.store -= units
+
+    def arrived(self, now: float, a: Account, units: float) -> None:
+        """A first attempt is on its way whole: from now on the meter may count it."""
+        self.refill(now, a)
+        most = int(a.plan.at_once)
+        place = a.whole.places(a.out, a.took or self.took, most) if most else 1.0
+        a.whole.sent(a.at, units, self.meter.period / BINS, place)
--- a/oliveloft/backend/connections.py
+++ b/oliveloft/backend/connections.py
@@ -57,13 +57,14 @@
 class Answer:
     """A worker's whole answer."""
 
-    __slots__ = ("status", "headers", "body", "used", "not_processed")
+    __slots__ = ("status", "headers", "body", "used", "not_processed", "told")
 
     def __init__(self) -> None:
         self.status = 0
         self.headers: list[bytes] = []  # end-to-end header lines, ready to go out
         self.body = b""
         self.used: float | None = None
+        self.told = 0.0  # when its head came
         self.not_processed = False
 
 
@@ -218,6 +219,8 @@
             self._end(i.UNREACHABLE)  # its client has gone, and the worker sees that it is not whole
             return
         while transport.get_write_buffer_size() <= FLOW:
+            if transport.is_closing():
+                return  # guards against a broken connection that seems to take all: nothing of it counts as written
             block = source.read(self._place)
             if block is None:
                 break
@@ -232,6 +235,8 @@
             source.reader, self._source = None, None
             if source.length is None:
                 transport.write(b"0\r\n\r\n")
+            if transport.is_closing():
+                return
             if transport.get_write_buffer_size() == 0:
                 self._written = True
             if (attempt := self.attempt) is not None and attempt.wrote is not None:
@@ -340,7 +345,7 @@
             return  # guards the answer against the status of a stray one behind it
         self._headed, self._unread = True, 0
         parser = cast(httptools.HttpResponseParser, self._parser)
-        self._answer.status = parser.get_status_code()
+        self._answer.status, self._answer.told = parser.get_status_code(), self._pool.loop.time()
         self._ends = self._ends or not self._framed and parser.get_http_version() == "1.0"
         if self._length is not None and self._length > self._pool.max_body:
             self._stream()  # its first bytes are waited for
--- a/oliveloft/gatekeeper/bridge.py
+++ b/oliveloft/gatekeeper/bridge.py
@@ -265,7 +265,8 @@
             request=attempt.request, attempt=attempt.number, worker=attempt.worker, status=status,
             terminal=request.ended, kept=not isinstance(request.body, Body) or request.body.kept,
             took=(attempt.first or self._loop.time()) - attempt.began,  # of a long one, until it began
-            used=answer.used if answer is not None else None)
+            used=answer.used if answer is not None else None,
+            used_age=self._loop.time() - answer.told if answer is not None else 0.0)
         if self.ended is not None:
             self.ended(attempt, outcome)
         self._forget(request)
