--- a/micagate/debts.py
+++ b/micagate/debts.py
@@ -4,10 +4,11 @@
 
 import hashlib
 import math
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from typing import Any
 
 SLOTS = 1 << 15  # of each of the two rows (ours)
+PIECE = 1 << 12  # of them that are copied in one step
 
 
 class Debts:
@@ -22,6 +23,7 @@
         # Salted: nobody can choose names that share their places with somebody else's.
         self._salt = salt.encode()[:64]
         self._rows = [-math.inf] * SLOTS, [-math.inf] * SLOTS
+        self._added: list[tuple[int, int, float]] | None = None  # since a copy began
 
     def _places(self, key: str) -> tuple[int, int]:
         digest = int.from_bytes(hashlib.blake2b(key.encode(), digest_size=8, key=self._salt).digest(), "big")
@@ -30,26 +32,40 @@
     def add(self, now: float, key: str, seconds: float) -> None:
         """An account goes that would take so long to be full again."""
         if seconds > 0:
-            for row, place in zip(self._rows, self._places(key), strict=True):
+            for number, place in enumerate(self._places(key)):
+                row = self._rows[number]
                 row[place] = max(row[place], now + seconds)
+                if self._added is not None:
+                    self._added.append((number, place, row[place]))
 
     def owed(self, now: float, key: str) -> float:
         """The seconds of filling that a returning account is short of."""
         first, second = self._places(key)
         return max(0.0, min(self._rows[0][first], self._rows[1][second]) - now)
 
-    def state(self) -> dict[str, object]:
-        """The salt and what is in the rows, for another process."""
-        return {"salt": self._salt, "rows": [
-            [(n, when) for n, when in enumerate(row) if when > -math.inf] for row in self._rows]}
+    def copy(self) -> Iterator[dict[str, object]]:
+        """The salt and what is in the rows, a piece at a time; what comes meanwhile is for `rest`."""
+        self._added = []
+        for number, row in enumerate(self._rows):
+            for first in range(0, SLOTS, PIECE):
+                piece = row[first:first + PIECE]
+                yield self._told([(number, first + n, when) for n, when in enumerate(piece) if when > -math.inf])
+
+    def rest(self) -> dict[str, object]:
+        """What has come since the copy began."""
+        added, self._added = self._added or [], None
+        return self._told(added)
+
+    def _told(self, places: list[tuple[int, int, float]]) -> dict[str, object]:
+        return {"salt": self._salt, "places": places}
 
     def restore(self, state: Mapping[str, Any]) -> None:
         """Take over what another process remembered, with its salt."""
-        salt, rows = state.get("salt"), state.get("rows", ())
-        if not isinstance(salt, bytes) or len(rows) != len(self._rows):
+        salt, places = state.get("salt"), state.get("places", ())
+        if not isinstance(salt, bytes):
             return
         self._salt = salt[:64]
-        for row, told in zip(self._rows, rows, strict=True):
-            for n, when in told:
-                if 0 <= n < SLOTS:
-                    row[n] = max(row[n], float(when))
+        for number, place, when in places:
+            if 0 <= number < len(self._rows) and 0 <= place < SLOTS:
+                row = self._rows[number]
+                row[place] = max(row[place], float(when))
--- a/micagate/handover/state.py
+++ b/micagate/handover/state.py
@@ -27,6 +27,7 @@
 FLEET = ("_usual", "_done", "_done_at", "brisk", "_answers", "owed")
 WORKER = ("slow", "learned", "heard", "latest", "losses", "fails", "until", "turn", "pause", "answers", "fulls", "held")
 RECENT, TAILS = ("_at", "_took", "_aims", "_missed"), ("_at", "_long", "_gone")
+FEW, ROUNDS = 40, 6  # accounts that may be given in one step; rounds of a copy at the most
 BUDGET = ("_took", "_heard", "_unheard", "_look", "_row", "_held")
 
 
@@ -36,16 +37,33 @@
 
 
 class Copy:
-    """The accounts of a gateway, given some at a time, and those that were used since they were given."""
+    """The accounts of a gateway and its debts, given a few at a time, in rounds.
 
-    def __init__(self, gateway: Gateway) -> None:
-        self._quotas = gateway.quotas
-        self._keys = [(key, often) for often, queue in enumerate(gateway.quotas.table.queues) for key in queue]
-        self._next = 0
+    Each round after the first gives what was used in the one before, until that is so little that the rest can be
+    given in one step; a gateway that is used faster than it is copied ends after `ROUNDS`.
+    """
+
+    def __init__(self, gateway: Gateway, now: float) -> None:
+        self._quotas, self._debts = gateway.quotas, gateway.quotas.debts.copy()
+        self._since = now  # whatever was used last before this is given once the round is over
+        self._rounds = 0
         self._given: set[str] = set()
+        self._keys = [(key, bool(often)) for often, queue in enumerate(gateway.quotas.table.queues) for key in queue]
+        self._next = 0
 
-    def more(self, most: int) -> list[dict[str, Any]]:
-        """The next accounts, `most` of them; none where all were given."""
+    def debts(self) -> dict[str, Any] | None:
+        """The next of the debts; None where all were given."""
+        return next(self._debts, None)
+
+    def more(self, now: float, most: int) -> list[dict[str, Any]]:
+        """The next accounts, `most` of them; none where no further round is worth it."""
+        if self._next >= len(self._keys):
+            used = list(self._used())
+            if len(used) <= FEW or self._rounds >= ROUNDS:
+                return []
+            self._rounds += 1
+            self._keys, self._next = used, 0
+            self._since = now
         rows: list[dict[str, Any]] = []
         while len(rows) < most and self._next < len(self._keys):
             key, often = self._keys[self._next]
@@ -53,17 +71,21 @@
             account = self._quotas.table.get(key)
             if account is not None:
                 self._given.add(key)
-                rows.append({**account_row(account), "often": bool(often)})
+                rows.append({**account_row(account), "often": often})
         return rows
 
-    def rest(self, since: float) -> Iterator[dict[str, Any]]:
-        """Those that were used since the copy began, or were not given: once, at the end."""
+    def _used(self) -> Iterator[tuple[str, bool]]:
+        """The customers who asked since this round began, or were never given."""
         for often, queue in enumerate(self._quotas.table.queues):
-            for key in reversed(queue):  # by last use: whatever is older than the copy has not changed
-                account = queue[key]
-                if key in self._given and account.at < since:
+            for key in reversed(queue):  # by last use: whatever is older has not changed
+                if key in self._given and queue[key].at < self._since:
                     break
-                yield {**account_row(account), "often": bool(often)}
+                yield key, bool(often)
+
+    def rest(self) -> list[dict[str, Any]]:
+        """What was used since: once, at the end."""
+        found = [(key, often, self._quotas.table.get(key)) for key, often in self._used()]
+        return [{**account_row(account), "often": often} for _, often, account in found if account is not None]
 
 
 def core(gateway: Gateway) -> dict[str, Any]:
@@ -71,7 +93,7 @@
     g, q, f = gateway, gateway.quotas, gateway.fleet
     return {
         "quotas": take(q, ("_born", "took")), "meter": take(q.meter, METER),
-        "debts": q.debts.state(), "throttle": take(g.throttle, THROTTLE),
+        "debts": q.debts.rest(), "throttle": take(g.throttle, THROTTLE),
         "fleet": take(f, FLEET), "recent": take(f.recent, RECENT), "tails": take(f.tails, TAILS),
         "workers": {name: take(worker, WORKER) for name, worker in f.workers.items()},
         "waits": take(g.waits, ("_waits",))["_waits"], "budget": g.budget, "counter": take(g.counting.budget, BUDGET),
--- a/oliveloft/cli.py
+++ b/oliveloft/cli.py
@@ -74,6 +74,11 @@
     return main(words.file, words.json)
 
 
+def _manage(words: argparse.Namespace) -> int:
+    from oliveloft.manage.client import main
+    return main(words.call, words.worker, words.at, words.within, words.json)
+
+
 def _config(verb: argparse.ArgumentParser) -> None:
     verb.add_argument("--config", default="deploy/planners.toml", metavar="FILE",
                       help="the planners' configuration (default deploy/planners.toml)")
@@ -113,6 +118,17 @@
     settings.add_argument("file", metavar="FILE", help="a gatekeeper's JSON file, for example deploy/example.json")
     settings.add_argument("--json", action="store_true", help="one JSON object")
     settings.set_defaults(run=_settings)
+    manage = verbs.add_parser(
+        "manage", help="call a gatekeeper at its operators' address",
+        description="HEALTH, LEAVE, JOIN, OFFLINE ID or ONLINE ID. Exit code 0: ok, 1: fail, 2: wrong words, "
+                    "3: no answer.")
+    manage.add_argument("call", metavar="CALL", help="HEALTH, LEAVE, JOIN, OFFLINE or ONLINE, in any case")
+    manage.add_argument("worker", metavar="ID", nargs="?", help="the worker, for OFFLINE and ONLINE")
+    manage.add_argument("--at", metavar="HOST:PORT", help="the operators' address (default: PROXY_MANAGEMENT, or "
+                        "`management` of the file that PROXY_CONFIG names)")
+    manage.add_argument("--within", type=amount, default=1.0, help="seconds to wait for the answer (default 1)")
+    manage.add_argument("--json", action="store_true", help="one JSON object")
+    manage.set_defaults(run=_manage)
     return top
 
 
--- a/oliveloft/gatekeeper/process.py
+++ b/oliveloft/gatekeeper/process.py
@@ -92,7 +92,7 @@
     index = None
     followed = False  # this process follows another one, and knows what that knew
     if place is not None and shared:
-        place.carry = operations.carry
+        place.carry = operations.apply
         if followed := await place.take(config.name, shared):
             offset = place.offset
             index = place.index if place.told_by == config.discovery else None
--- a/oliveloft/manage/operations.py
+++ b/oliveloft/manage/operations.py
@@ -23,9 +23,13 @@
         self._passed_on = passed_on  # to the process that serves in this one's place, if one does
 
     def carry(self, call: protocol.Call) -> tuple[bool, str]:
-        """Do what is asked: whether it was done, and what there is to say."""
+        """Do what is asked, here and in the other process of an upgrade: whether it was done, and what to say."""
         if self._passed_on is not None and call.word != protocol.HEALTH:
             self._passed_on(call)
+        return self.apply(call)
+
+    def apply(self, call: protocol.Call) -> tuple[bool, str]:
+        """Do what is asked in this process alone."""
         match call.word:
             case protocol.HEALTH:
                 return self._server.health()
--- a/oliveloft/takeover/giver.py
+++ b/oliveloft/takeover/giver.py
@@ -47,6 +47,9 @@
     def gone(self) -> None:
         """All is given: only what is in hand is finished."""
 
+    def call(self, word: str, worker: str) -> None:
+        """Operators have called the taker."""
+
 
 class Giver:
     """Waits for a taker, one at a time."""
@@ -58,7 +61,6 @@
         self._socket: socket.socket | None = None
         self.channel: Channel | None = None
         self._copy: state.Copy | None = None
-        self._since = 0.0
         self._paused = False
         self.superseded = False  # the taker accepts: nothing new is ours
 
@@ -97,6 +99,8 @@
         self.channel = Channel(self._loop, sock, self._heard, self._lost)
 
     def _lost(self, why: str) -> None:
+        if self._copy is not None:
+            self._gateway.quotas.debts.rest()  # nobody takes note of them any more
         self.channel = self._copy = None
         if self.superseded:
             log.warning("takeover: the new process is gone: %s", why)
@@ -117,7 +121,7 @@
                 if message.version != wire.VERSION or message.name != self._name or abs(message.clock - now) > CLOCKS:
                     channel.send(wire.No(f"version {wire.VERSION}, {self._name}, clock {now:.1f}"))
                     return
-                self._copy, self._since = state.Copy(self._gateway), now
+                self._copy = state.Copy(self._gateway, now)
                 self._more()
             case wire.Take() if self._copy is not None:
                 self._give(channel, self._copy)
@@ -126,6 +130,8 @@
                 self.stop()
                 log.info("takeover: the new process serves")
                 self._owner.gone()
+            case wire.Call(word, worker) if self.superseded:
+                self._owner.call(word, worker)
             case wire.No(why):
                 channel.close(f"the new process says no: {why}")
 
@@ -135,32 +141,24 @@
         if channel is None or copy is None:
             return
         if channel.waiting < ROOM:
-            if not (rows := copy.more(ROWS)):
+            if (debts := copy.debts()) is not None:
+                channel.send(wire.Part("debts", debts))
+            elif rows := copy.more(self._clock(), ROWS):
+                channel.send(wire.Accounts(rows))
+            else:
                 channel.send(wire.Copied())
                 return
-            channel.send(wire.Accounts(rows))
         self._loop.call_later(0.001, self._more)
 
     def _give(self, channel: Channel, copy: state.Copy) -> None:
         """All of it, at one instant: from here on nothing is accepted."""
         self._paused = True
         self._owner.pause()
-        rows: list[dict[str, Any]] = []
-        for account in copy.rest(self._since):
-            rows.append(account)
-            if len(rows) == ROWS:
-                channel.send(wire.Accounts(rows))
-                rows = []
-        channel.send(wire.Accounts(rows))
+        rows = copy.rest()
+        for first in range(0, len(rows), ROWS):
+            channel.send(wire.Accounts(rows[first:first + ROWS]))
         for name, value in {**self._owner.outside(), **state.core(self._gateway)}.items():
-            if name == "debts":  # they are many: some at a time
-                for number, row in enumerate(value["rows"]):
-                    for first in range(0, len(row), 2000):
-                        told: list[list[Any]] = [[] for _ in value["rows"]]
-                        told[number] = row[first:first + 2000]
-                        channel.send(wire.Part(name, {"salt": value["salt"], "rows": told}))
-            else:
-                channel.send(wire.Part(name, value))
+            channel.send(wire.Part(name, value))
         outs = list(state.outs(self._gateway))
         for first in range(0, len(outs), ROWS):
             channel.send(wire.Part("outs", outs[first:first + ROWS]))
--- a/oliveloft/takeover/place.py
+++ b/oliveloft/takeover/place.py
@@ -107,9 +107,15 @@
                                        outcome.used))
 
     def passed_on(self, call: protocol.Call) -> None:
-        """Operators still call the process that has given all: the taker hears of it."""
+        """While both processes of an upgrade live, the other one hears of each call.
+
+        The old one's further attempts keep to a ban that only the new one was told of, and the new one to whatever
+        operators still say to the old one.
+        """
         if self.giver is not None and self.giver.superseded:
             self.giver.tell(wire.Call(call.word, call.worker))
+        elif self._taker is not None and call.word in (protocol.OFFLINE, protocol.ONLINE):
+            self._taker.tell(wire.Call(call.word, call.worker))
 
     @property
     def superseded(self) -> bool:
@@ -147,7 +153,7 @@
         self._keep(self._loop.create_task(self._workers.adopt(sock, worker, idle_since)))
 
     def call(self, word: str, worker: str) -> None:
-        """Operators have called the process that gave."""
+        """Operators have called the other process."""
         if self.carry is not None:
             self.carry(protocol.Call(word, worker))
 
--- a/oliveloft/takeover/taker.py
+++ b/oliveloft/takeover/taker.py
@@ -69,6 +69,11 @@
             self._fail("it takes too long")
             return False
 
+    def tell(self, message: wire.Message) -> None:
+        """Tell the giver, if it is still there."""
+        if self._channel is not None:
+            self._channel.send(message)
+
     def taken(self) -> None:
         """Clients are accepted here from now on."""
         if self._channel is not None:
--- a/oliveloft/takeover/wire.py
+++ b/oliveloft/takeover/wire.py
@@ -95,7 +95,7 @@
 
 
 class Call(msgspec.Struct, tag=True):
-    """The giver: operators have called it, though it has given all away."""
+    """Either side: operators have called it, and the other one is to do the same."""
 
     word: str
     worker: str = ""
--- /dev/null
+++ b/rig/house.py
@@ -0,0 +1,106 @@
+"""What outlives a process on a platform that replaces it: the listening socket, the temporary folder, the rest.
+
+And clients that keep their connections and ask again and again, which count what goes wrong at the door.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+import tempfile
+import time
+from pathlib import Path
+from typing import Any, Self
+
+from rig.scripted import Client, Discovery, Gatekeeper, config, spawn, until
+
+
+class House:
+    """The listening socket, the folder, workers and discovery; processes come and go in it."""
+
+    def __init__(self, *workers: Any, limits: dict[str, Any] | None = None) -> None:
+        self.workers, self._limits = workers, limits
+        self.folder = tempfile.TemporaryDirectory()
+        self.socket = socket.socket()
+        self.socket.bind(("127.0.0.1", 0))
+        self.socket.listen(512)
+        self.processes: list[Gatekeeper] = []
+
+    @property
+    def port(self) -> int:
+        """Where clients connect."""
+        port: int = self.socket.getsockname()[1]
+        return port
+
+    async def __aenter__(self) -> Self:
+        for worker in self.workers:
+            await worker.start()
+        self.discovery = await Discovery([worker.entry() for worker in self.workers]).start()
+        return self
+
+    async def process(self, ready: bool = True, root: Path | None = None, **changes: Any) -> Gatekeeper:
+        """Start one more process, and wait until it says that it serves; `root` is that of another version."""
+        made = {**config(self.discovery.port, limits=self._limits), **changes}
+        made["listen"] = f"127.0.0.1:{self.port}"
+        gatekeeper = await spawn(json.dumps(made), accept=self.socket, folder=self.folder.name, root=root)
+        self.processes.append(gatekeeper)
+        if ready:
+            await gatekeeper.listening()
+            while not (await gatekeeper.call("HEALTH")).startswith("ok"):
+                await asyncio.sleep(0.01)
+        return gatekeeper
+
+    async def __aexit__(self, *error: object) -> None:
+        for gatekeeper in self.processes:
+            if gatekeeper.process.returncode is None:
+                gatekeeper.process.kill()
+            await gatekeeper.process.wait()
+            if not error[0]:
+                assert not any("Traceback" in line for line in gatekeeper.log), gatekeeper.log
+        self.socket.close()
+        self.folder.cleanup()
+
+
+class Load:
+    """Clients that keep their connections; each asks again as soon as it has its reply, `pause` seconds later."""
+
+    def __init__(self, port: int, count: int, pause: float = 0.002) -> None:
+        self.port, self.count, self.pause = port, count, pause
+        self.statuses: list[int] = []
+        self.times: list[float] = []  # when each reply came
+        self.broken, self.going = 0, True
+
+    async def _one(self, number: int) -> None:
+        client = None
+        while self.going:
+            reply = None
+            try:
+                if client is None:
+                    client = Client(*await asyncio.open_connection("127.0.0.1", self.port))
+                client.send(Client.request("write", customer=f"{number:016x}"))
+                reply = await client.receive()
+            except ConnectionError:
+                pass
+            if reply is None:
+                self.broken += 1
+                client = None
+                continue
+            self.statuses.append(reply.status)
+            self.times.append(time.monotonic())
+            if reply.headers.get("connection") == "close":
+                client = None
+            await asyncio.sleep(self.pause)
+
+    async def __aenter__(self) -> Self:
+        self.tasks = [asyncio.create_task(self._one(n)) for n in range(self.count)]
+        await until(lambda: len(self.statuses) > 100)
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        self.going = False
+        _, stuck = await asyncio.wait(self.tasks, timeout=5)
+        for task in stuck:  # a reply that never comes is as broken as a connection
+            task.cancel()
+        self.broken += len(stuck)
+
--- a/rig/scripted.py
+++ b/rig/scripted.py
@@ -374,10 +374,10 @@
 
 
 async def spawn(configuration: object, *words: str, accept: socket.socket | None = None,
-                folder: str = "") -> Gatekeeper:
+                folder: str = "", root: Path | None = None) -> Gatekeeper:
     """Start the program, and wait for nothing.
 
-    `accept` is a listening socket that it inherits, `folder` its temporary folder.
+    `accept` is a listening socket that it inherits, `folder` its temporary folder, `root` where its text stands.
     """
     more = {"TMPDIR": folder} if folder else {}
     if accept is not None:
@@ -386,13 +386,13 @@
     file.write_text(configuration if isinstance(configuration, str) else json.dumps(configuration))
     process = await asyncio.create_subprocess_exec(
         sys.executable, "-m", "oliveloft", *words, env={**os.environ, "PROXY_CONFIG": str(file), **more},
-        cwd=Path(__file__).parents[1], stderr=asyncio.subprocess.PIPE,
+        cwd=root or Path(__file__).parents[1], stderr=asyncio.subprocess.PIPE,
         pass_fds=(accept.fileno(),) if accept is not None else ())
     return Gatekeeper(process, file)
 
 
 @contextlib.asynccontextmanager
-async def scene(*workers: Worker, ends: bool = False,
+async def scene(*workers: Any, ends: bool = False,
                 **how: Any) -> AsyncIterator[tuple[Gatekeeper, Discovery, Client]]:
     """Workers, a discovery that lists them, a gatekeeper that has heard of them, and a client.
 
--- a/tests/handover/test_state.py
+++ b/tests/handover/test_state.py
@@ -56,16 +56,21 @@
 
 def over(module, now, seed=9):
     """Another gateway that has taken over, by the wire's own bytes."""
-    copy = state.Copy(module)
+    copy = state.Copy(module, now)
     messages = []
-    while rows := copy.more(3):
+    while rows := copy.more(now, 3):
         messages.append(wire.Accounts(rows))
-    messages += [wire.Accounts(list(copy.rest(now))), wire.Part("core", state.core(module)),
+    debts = []
+    while (piece := copy.debts()) is not None:
+        debts.append(wire.decode(wire.encode(wire.Part("debts", piece))).value)
+    messages += [wire.Accounts(copy.rest()), wire.Part("core", state.core(module)),
                  wire.Part("outs", list(state.outs(module)))]
     accounts, (core, outs) = messages[:-2], [wire.decode(wire.encode(m)) for m in messages[-2:]]
     taker = gateway(seed, now)
     for message in accounts:
         state.put_accounts(taker, now, wire.decode(wire.encode(message)).rows)
+    for piece in debts:
+        taker.quotas.debts.restore(piece)
     state.put_core(taker, now, core.value, outs.value)
     return taker
 
@@ -85,7 +90,7 @@
             assert account.out == other[key].out and account.depth == other[key].depth
     mine, theirs = state.core(module), state.core(taker)
     for core in (mine, theirs):
-        core["debts"] = json.dumps(core["debts"]["rows"])
+        core["debts"] = json.dumps(core["debts"]["places"])
         core["fleet"].pop("_done_at")  # brought up to another moment
         core["fleet"].pop("_done")
     assert mine == theirs
@@ -186,3 +191,42 @@
             wire.decode(changed)
     with pytest.raises(wire.Damaged):
         wire.decode(b"")
+
+
+def test_thirty_thousand_customers_are_copied_a_few_at_a_time_and_none_is_forgotten():
+    module = gateway(accounts=60_000)
+    quotas, now = module.quotas, 0.0
+    for n in range(30_000):
+        now += 0.0001
+        quotas.take(quotas.account(now, f"{n:016x}", PLANS[0], 2), 1.0, True)
+    taker, random = gateway(4, now, accounts=60_000), Random(1)
+    copy, steps = state.Copy(module, now), 0
+    while rows := copy.more(now, 40):
+        state.put_accounts(taker, now, rows)
+        steps += 1
+        for _ in range(10):  # it is used meanwhile, also by customers that are new
+            now += 0.0005
+            account = quotas.account(now, f"{random.randrange(30_500):016x}", PLANS[0], 2)
+            quotas.take(account, 1.0, True)
+    rest = copy.rest()
+    assert len(rest) <= 60 and steps > 30_000 / 40
+    state.put_accounts(taker, now, rest)
+    for queue in quotas.table.queues:
+        for key, account in queue.items():
+            assert state.account_row(taker.quotas.table.get(key)) == state.account_row(account), key
+
+
+def test_debts_go_over_with_what_comes_meanwhile():
+    module, taker = gateway(), gateway(2)
+    debts = module.quotas.debts
+    for n in range(500):
+        debts.add(0.0, f"c{n}", 10.0 + n)
+    copy = state.Copy(module, 0.0)
+    pieces = [copy.debts() for _ in range(5)]
+    for n in range(500, 600):
+        debts.add(1.0, f"c{n}", 10.0 + n)
+    while (piece := copy.debts()) is not None:
+        pieces.append(piece)
+    for piece in (*pieces, debts.rest()):
+        taker.quotas.debts.restore(piece)
+    assert all(taker.quotas.debts.owed(2.0, f"c{n}") == debts.owed(2.0, f"c{n}") > 0 for n in range(600))
--- a/tests/manage/test_operations.py
+++ b/tests/manage/test_operations.py
@@ -5,6 +5,8 @@
 import os
 import signal
 import socket
+import sys
+from pathlib import Path
 
 import pytest
 
@@ -170,3 +172,30 @@
         await gatekeeper._reading
         assert len(gatekeeper.log) == 1 and "management" in gatekeeper.log[0]
     run(scenario())
+
+
+def test_the_command_line_makes_calls_and_says_how_they_went():
+    async def scenario():
+        async with scene(Worker("w")) as (gatekeeper, _, _):
+            at = f"127.0.0.1:{gatekeeper.management}"
+
+            async def manage(*words):
+                process = await asyncio.create_subprocess_exec(
+                    sys.executable, "-m", "oliveloft", "manage", *words, stdout=asyncio.subprocess.PIPE,
+                    stderr=asyncio.subprocess.PIPE, cwd=Path(__file__).parents[2])
+                out, err = await process.communicate()
+                return process.returncode, out.decode(), err.decode()
+
+            code, out, _ = await manage("health", "--at", at, "--json")
+            told = json.loads(out)
+            assert code == 0 and told["ok"] and told["call"] == "HEALTH" and told["ms"] < 1000
+            code, out, _ = await manage("OFFLINE", "nobody", "--at", at)
+            assert code == 1 and out.startswith("fail ") and "nobody" in out
+            for words in (("RESTART", "--at", at), ("OFFLINE", "--at", at), ("HEALTH", "--at", "nowhere"), ("HEALTH",)):
+                code, _, err = await manage(*words)
+                assert code == 2 and len(err.splitlines()) == 1
+            with socket.socket() as unused:
+                unused.bind(("127.0.0.1", 0))
+                code, out, _ = await manage("HEALTH", "--at", f"127.0.0.1:{unused.getsockname()[1]}")
+            assert code == 3 and out.startswith("no answer")
+    run(scenario())
--- a/tests/takeover/test_takeover.py
+++ b/tests/takeover/test_takeover.py
@@ -2,101 +2,24 @@
 
 import asyncio
 import contextlib
-import json
 import signal
 import socket
-import tempfile
 from pathlib import Path
 
 import pytest
 
-from rig.scripted import Client, Discovery, Worker, answer, config, run, spawn, until
+from rig.house import House, Load
+from rig.scripted import Client, Worker, answer, config, run, until
 
 PLANS = [{"AtOnce": 0, "BeyondEarns": 0, "CapDepth": 0, "CapSlack": 0, "ExcessCost": 1, "HardRate": 0,
           "MostAtOnce": 5, "Name": "free", "Refill": 0.01}]
 
 
-class House:
-    """The listening socket, the folder, workers and discovery that outlive processes."""
-
-    def __init__(self, *workers):
-        self.workers = workers
-        self.folder = tempfile.TemporaryDirectory()
-        self.socket = socket.socket()
-        self.socket.bind(("127.0.0.1", 0))
-        self.socket.listen(512)
-        self.processes = []
-
-    async def __aenter__(self):
-        for worker in self.workers:
-            await worker.start()
-        self.discovery = await Discovery([worker.entry() for worker in self.workers]).start()
-        return self
-
-    async def process(self, ready=True, **changes):
-        made = {**config(self.discovery.port), **changes}
-        made["listen"] = f"127.0.0.1:{self.socket.getsockname()[1]}"
-        gatekeeper = await spawn(json.dumps(made), accept=self.socket, folder=self.folder.name)
-        self.processes.append(gatekeeper)
-        if ready:
-            await gatekeeper.listening()
-            while not (await gatekeeper.call("HEALTH")).startswith("ok"):
-                await asyncio.sleep(0.01)
-        return gatekeeper
-
-    async def __aexit__(self, *error):
-        for gatekeeper in self.processes:
-            if gatekeeper.process.returncode is None:
-                gatekeeper.process.kill()
-            await gatekeeper.process.wait()
-            if not error[0]:
-                assert not any("Traceback" in line for line in gatekeeper.log), gatekeeper.log
-        self.socket.close()
-        self.folder.cleanup()
-
-
-class Load:
-    """Clients that keep their connections and ask again and again; what went wrong at the door."""
-
-    def __init__(self, gatekeeper, count):
-        self.port, self.count = gatekeeper.port, count
-        self.statuses, self.broken, self.going = [], 0, True
-
-    async def one(self):
-        gatekeeper = type("At", (), {"port": self.port})
-        client = None
-        while self.going:
-            try:
-                if client is None:
-                    client = Client(*await asyncio.open_connection("127.0.0.1", gatekeeper.port))
-                client.send(Client.request("write", customer=f"{id(client) % 2 ** 32:016x}"))
-                reply = await client.receive()
-            except ConnectionError:
-                reply = None
-            if reply is None:
-                self.broken += 1
-                client = None
-                continue
-            self.statuses.append(reply.status)
-            if reply.headers.get("connection") == "close":
-                client = None
-            await asyncio.sleep(0.002)
-
-    async def __aenter__(self):
-        self.tasks = [asyncio.create_task(self.one()) for _ in range(self.count)]
-        await until(lambda: len(self.statuses) > 100)
-        return self
-
-    async def __aexit__(self, *error):
-        self.going = False
-        await asyncio.gather(*self.tasks)
-
-
 def test_three_upgrades_under_load_refuse_reset_and_lose_nothing():
     async def scenario():
         async with House(Worker("w"), Worker("v")) as house:
             old = await house.process()
-            async with Load(old, 20) as load:
+            async with Load(old.port, 20) as load:
                 for _ in range(3):
                     new = await house.process()
                     old.process.send_signal(signal.SIGTERM)
@@ -187,7 +110,7 @@
     async def scenario():
         async with House(Worker("w")) as house:
             old = await house.process()
-            async with Load(old, 5) as load:
+            async with Load(old.port, 5) as load:
                 if how == "killed":
                     new = await house.process(ready=False)
                     await asyncio.sleep(0.2)
@@ -233,3 +156,33 @@
             client = Client(*await asyncio.open_connection("127.0.0.1", old.port))
             assert (await client.ask("write")).status == 200
     run(scenario())
+
+
+def test_a_further_attempt_of_the_old_process_keeps_to_a_ban_that_the_new_one_was_told_of():
+    async def scenario():
+        worker, other = Worker("w"), Worker("v")
+        async with House(worker, other) as house:
+            old = await house.process()
+            clients = [Client(*await asyncio.open_connection("127.0.0.1", house.port)) for _ in range(8)]
+            go = asyncio.Event()
+
+            async def turned(request, writer):
+                await go.wait()
+                await answer(503, b"", "X-Not-Processed: 1\r\n")(request, writer)
+
+            worker.script = other.script = turned
+            for client in clients:
+                client.send(Client.request("write", timeout="3.0"))
+            await until(lambda: len(worker.seen) + len(other.seen) == 8)
+            new = await house.process()
+            await old.logged("the new process serves")
+            assert (await new.call("OFFLINE w")).startswith("ok ")
+            await old.logged("w is out")
+            await asyncio.sleep(0.6)  # the grace
+            seen = len(worker.seen)
+            go.set()
+            replies = [await client.receive() for client in clients]
+            assert len(worker.seen) == seen and {reply.status for reply in replies} <= {503, 200}
+            assert (await new.call("ONLINE w")).startswith("ok ")
+            await old.logged("w is back")
+    run(scenario())
