--- a/benchmarks/operations.py
+++ b/benchmarks/operations.py
@@ -21,7 +21,7 @@
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from random import Random
-from typing import Any
+from typing import Any, cast
 
 import uvloop
 
@@ -296,8 +296,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Connect the other side, or pass on what came before it stood."""
-        assert isinstance(transport, asyncio.Transport)
-        self._transport = transport
+        self._transport = transport = cast(asyncio.Transport, transport)
         if self._other is None:
             other = self._other = Relay(other=self)
             self._task = asyncio.create_task(asyncio.get_running_loop().create_connection(
