Ask an agent that has gone silent again with a short wait

Its next call went out while the agent was still silent, waited 5 s and was given 3 s more (the silence doubles), so that 8 s passed before it asked again (Discovery.ask). Where nobody else loads the agent a call after a failure waits 0.5 s, and silence is 1.5 s each time; elsewhere as before.

--- a/oliveloft/discovery/watch.py
+++ b/oliveloft/discovery/watch.py
@@ -34,6 +34,7 @@
 # ... and where nobody else loads what is asked: three failures in a row take less than the grace of a drain (0.5 s), in
 # which a change that was told but got lost on its way has to be heard.
 AGENT_BACKOFF, AGENT_DOUBLINGS = 0.05, 4
+PROBE = 0.5  # seconds that such an agent's watch waits after a failure: one that is still silent is noticed soon
 EACH = 0.15  # ... or this for each gatekeeper that loads the same discovery, if that is more (ours)
 MAX_LIST = 4 * 1024 * 1024
 
@@ -163,6 +164,7 @@
         self._index = index
         self._random = Random(seed)
         self._within = max(BACKOFF, EACH * gatekeepers) if gatekeepers > 1 else AGENT_BACKOFF
+        self._alone = gatekeepers <= 1
         self._longest = 2 ** (DOUBLINGS if gatekeepers > 1 else AGENT_DOUBLINGS) * self._within
         self._first = EACH * (number % gatekeepers) if index is not None else 0.0
         self._pause, self._silence = self._within, SILENCE
@@ -251,7 +253,10 @@
         """Ask for the whole list, or for what comes after it."""
         path, silence = "/v1/servers", self._silence
         if self._index is not None:
-            path, silence = f"{path}?index={self._index}&wait={int(WAIT * 1000)}", WAIT + silence
+            wait = PROBE if self._alone and self._failing else WAIT
+            path = f"{path}?index={self._index}&wait={int(wait * 1000)}"
+            # An agent that nobody else loads answers at once or not at all: its silence is given no more each time.
+            silence = wait + (SILENCE if self._alone else silence)
         cast(Link, self._link).ask(path)
         # Guards against an agent that has gone silent, which no close tells of: an open wait ends in time.
         self._after(silence, self.silent)
