Let the old process accept again where the new one dies after it took over

Seen: a run of the tests hung, clients waiting for replies for ever with the processes idle. test_where_the_new_process_fails kills the new one 0.2 s after its start; where that has taken over by then (ready after 0.2 to 0.5 s), the old one was superseded and never accepted again (Giver._lost), so that whoever connected waited in the socket's queue. Ruled out: lost descriptors and frames (those end a connection, which clients see), and the old process's end (resets). Now the old one accepts again, hands nothing on, and waits for the next taker, unless it is on its way out.

--- a/oliveloft/takeover/giver.py
+++ b/oliveloft/takeover/giver.py
@@ -1,7 +1,7 @@
 """The process that serves: it waits for one that takes its place, and gives it all it has.
 
-Until the taker has said that it accepts, everything can be taken back: a taker that dies or says no leaves this
-process serving as before. From then on this one only finishes what it has, and tells the taker of each end.
+A taker that dies or says no leaves this process serving as before, for as long as it lives. Once the taker has said
+that it accepts, this one only finishes what it has, and tells the taker of each end.
 """
 
 from __future__ import annotations
@@ -102,12 +102,14 @@
         if self._copy is not None:
             self._gateway.quotas.debts.rest()  # nobody takes note of them any more
         self.channel = self._copy = None
-        if self.superseded:
-            log.warning("takeover: the new process is gone: %s", why)
-        elif self._paused:
-            self._paused = False
-            log.warning("takeover: %s; this process goes on", why)
-            self._owner.resume()
+        if not self._paused:
+            return
+        # Guards the clients: whoever connects would wait in the socket's queue, where nobody accepts any more.
+        log.warning("takeover: %s; this process goes on", why)
+        superseded, self.superseded, self._paused = self.superseded, False, False
+        self._owner.resume()
+        if superseded:
+            self.listen()
 
     def _heard(self, message: wire.Message, fd: int | None) -> None:
         if fd is not None:
--- a/oliveloft/takeover/place.py
+++ b/oliveloft/takeover/place.py
@@ -68,9 +68,9 @@
         self._bridge.began, self._bridge.ended = self._began, self._ended
 
     def resume(self) -> None:
-        """Accept clients again."""
-        self._bridge.began = self._bridge.ended = None
-        if self.listen is not None:
+        """Accept clients again, unless this process is on its way out."""
+        self._bridge.began = self._bridge.ended = self._server.hand = None
+        if self.listen is not None and not self._server.closing:
             self._keep(self._loop.create_task(self._again()))
 
     async def _again(self) -> None:
--- a/tests/takeover/test_takeover.py
+++ b/tests/takeover/test_takeover.py
@@ -186,3 +186,24 @@
             assert (await new.call("ONLINE w")).startswith("ok ")
             await old.logged("w is back")
     run(scenario())
+
+
+def test_where_the_new_process_dies_after_it_took_over_the_old_one_accepts_again():
+    async def scenario():
+        async with House(Worker("w")) as house:
+            old = await house.process()
+            new = await house.process()
+            await old.logged("the new process serves")
+            new.process.kill()
+            await new.process.wait()
+            await old.logged("this process goes on")
+            late = Client(*await asyncio.open_connection("127.0.0.1", house.port))
+            async with asyncio.timeout(3):
+                assert (await late.ask("write")).status == 200
+            assert (await old.call("HEALTH")).startswith("ok ")
+            last = await house.process()  # and it can be followed again
+            await last.logged("management at")
+            old.process.terminate()
+            assert await old.process.wait() == 0
+            assert (await late.ask("write")).status == 200
+    run(scenario())
