Say once what the long bodies, the takeover and their tests said twice

Read again: how a piece of an answer goes on (Connection._more), whether a request is kept (bridge.Request.kept), the plan and customer of a key (told.customer_of, also in moves.py), the usual bounds on bodies (bodies/keeping.py; three places named them), a script that waits (rig.scripted.once), the memory watched while bodies pass (rig.memory.highest, rig.bulk.at_once). A sender held for want of room always waits for more, also while its client is not reading: without it one could stay held.

--- a/benchmarks/operations.py
+++ b/benchmarks/operations.py
@@ -29,9 +29,9 @@
 from micagate import interface as i
 from oliveloft.takeover.giver import Giver
 from oliveloft.takeover.taker import Taker
-from rig.bulk import BulkClient, BulkWorker, check
+from rig.bulk import BulkClient, BulkWorker, at_once, check
 from rig.house import House, Load
-from rig.memory import resident
+from rig.memory import highest
 from rig.scripted import Client, Gatekeeper, Worker, config, run, scene, spawn, until
 
 BEFORE = "ac3768b"  # the version before long bodies
@@ -264,25 +264,8 @@
 
 async def memory() -> Figures:
     """Twenty bodies of 32 MB at once, both ways, by a gatekeeper that may take 80 MB."""
-    worker, size, most = BulkWorker("w"), 32 * MB, 0
-    async with scene(worker, limits={"memory_mb": 80}) as (gatekeeper, _, _):
-        done = asyncio.Event()
-
-        async def watch() -> None:
-            nonlocal most
-            while not done.is_set():
-                most = max(most, resident(gatekeeper.process.pid))
-                await asyncio.sleep(0.02)
-
-        async def one(n: int) -> tuple[int, str, int, int, bool]:
-            client = await BulkClient.connect(gatekeeper.port)
-            return await client.ask(size=size) if n % 2 else await client.ask("read", want=f"give={size}")
-
-        watching = asyncio.create_task(watch())
-        got = await asyncio.gather(*(one(n) for n in range(20)))
-        done.set()
-        await watching
-        assert all(each[0] == 200 and each[4] for each in got), got
+    async with scene(BulkWorker("w"), limits={"memory_mb": 80}) as (gatekeeper, _, _):
+        most = await highest(gatekeeper.process.pid, at_once(gatekeeper.port, 20, 32 * MB))
     return {"peak_memory_mb": round(most / MB, 1)}
 
 
--- a/micagate/bodies/keeping.py
+++ b/micagate/bodies/keeping.py
@@ -19,6 +19,8 @@
 
 from collections.abc import Callable
 
+LONGEST = 48 * 1024 * 1024  # bytes of a body, unless set otherwise
+HELD = 24 * 1024 * 1024  # bytes that all long bodies hold beyond their windows, unless set otherwise
 WINDOW = 128 * 1024  # bytes of a body that may wait to go on where nothing more can be kept
 FIRST = 1024 * 1024  # bytes that are gathered before a body that still comes is passed on, while there is room
 
--- a/micagate/handover/state.py
+++ b/micagate/handover/state.py
@@ -16,6 +16,7 @@
 from micagate.gateway import Gateway
 from micagate.handover.fields import Damaged, put, take
 from micagate.pending import Attempt, Pending
+from micagate.told import customer_of
 
 ACCOUNT = ("slice", "stood", "store", "ceiling", "at", "tick", "asked", "forecast", "longer", "top", "use", "read",
            "readings", "fresh", "counted", "silent", "filled", "full_until", "took")
@@ -31,9 +32,9 @@
 BUDGET = ("_took", "_heard", "_unheard", "_look", "_row", "_held")
 
 
-def account_row(a: Account) -> dict[str, Any]:
-    """An account as it goes over."""
-    return {"key": a.key, "spread": a.spread, "often": True, **take(a, ACCOUNT), "whole": take(a.whole, WHOLE)}
+def account_row(a: Account, often: bool) -> dict[str, Any]:
+    """An account as it goes over, of a customer who asked `often`, or once."""
+    return {"key": a.key, "spread": a.spread, "often": often, **take(a, ACCOUNT), "whole": take(a.whole, WHOLE)}
 
 
 class Copy:
@@ -71,7 +72,7 @@
             account = self._quotas.table.get(key)
             if account is not None:
                 self._given.add(key)
-                rows.append({**account_row(account), "often": often})
+                rows.append(account_row(account, often))
         return rows
 
     def _used(self) -> Iterator[tuple[str, bool]]:
@@ -84,8 +85,7 @@
 
     def rest(self) -> list[dict[str, Any]]:
         """What was used since: once, at the end."""
-        found = [(key, often, self._quotas.table.get(key)) for key, often in self._used()]
-        return [{**account_row(account), "often": often} for _, often, account in found if account is not None]
+        return [account_row(self._quotas.table.queues[often][key], often) for key, often in self._used()]
 
 
 def core(gateway: Gateway) -> dict[str, Any]:
@@ -117,12 +117,10 @@
 def put_accounts(gateway: Gateway, now: float, rows: Iterable[dict[str, Any]]) -> None:
     """Take accounts over; a later row of a customer replaces an earlier one."""
     for row in rows:
-        kind, _, rest = str(row.get("key", "")).partition("/")
-        plan = gateway.plans.get(rest.partition("/")[0])
-        spread = row.get("spread")
-        if kind != "c" or not isinstance(spread, int) or spread < 1:
+        whose, spread = customer_of(str(row.get("key", ""))), row.get("spread")
+        if whose is None or not isinstance(spread, int) or spread < 1:
             raise Damaged(f"an account {row.get('key')!r} of {spread!r}")
-        if plan is None:
+        if (plan := gateway.plans.get(whose[0])) is None:
             continue  # a plan that this version's settings do not have
         account = Account(plan, row["key"], spread, now, now)
         put(account, ACCOUNT, row)
@@ -172,10 +170,9 @@
     Its request is none of this gateway's, and its outcome is taken like that of any whose client has gone.
     """
     klass, worker = gateway.classes.get(row["klass"]), gateway.fleet.workers.get(row["worker"])
-    kind, _, rest = str(row["key"]).partition("/")
-    plan_name, _, customer = rest.partition("/")
+    plan_name, customer = customer_of(str(row["key"])) or ("", "")
     plan, name, number = gateway.plans.get(plan_name), str(row["request"]), int(row["number"])
-    if klass is None or plan is None or kind != "c" or (name, number) in gateway.out:
+    if klass is None or plan is None or (name, number) in gateway.out:
         return
     account = gateway.quotas.table.get(row["key"]) or gateway.quotas.account(now, customer, plan, int(row["spread"]))
     units, sent = float(row["units"]), float(row["sent"])
--- a/micagate/moves.py
+++ b/micagate/moves.py
@@ -6,6 +6,7 @@
 
 from micagate import interface as i
 from micagate.quotas import Quotas
+from micagate.told import customer_of
 
 
 def move(quotas: Quotas, now: float, event: i.Shares, plans: Mapping[str, i.Plan]) -> list[i.Fill]:
@@ -17,12 +18,11 @@
     touched = {}
     counts = {share.key: share.count for share in event.changes}
     for key in (*(share.key for share in event.changes), *(fill.key for fill in event.fills)):
-        kind, _, rest = key.partition("/")
-        name, _, customer = rest.partition("/")
-        if kind == "c" and (plan := plans.get(name)) is not None:
+        whose = customer_of(key)
+        if whose is not None and (plan := plans.get(whose[0])) is not None:
             known, count = quotas.table.get(key), counts.get(key, 1)
             if known is not None or count > 1:
-                touched[key] = quotas.account(now, customer, plan, known.spread if known else count)
+                touched[key] = quotas.account(now, whose[1], plan, known.spread if known else count)
     before = {key: (account.span, account.store, account.ceiling) for key, account in touched.items()}
     quotas.shares.change(event)
     freed = []
--- a/micagate/operating/maintenance.py
+++ b/micagate/operating/maintenance.py
@@ -20,7 +20,7 @@
     """The bans, and the list as it was told."""
 
     def __init__(self) -> None:
-        self._told: dict[str, i.WorkerEntry] = {}
+        self.told: dict[str, i.WorkerEntry] = {}  # the list as it was told, without those that are gone
         self.banned: dict[str, float] = {}  # since when, seconds on the caller's clock
         self.back: dict[str, tuple[float, float]] = {}  # came back: since when it was out, and when it came
 
@@ -29,22 +29,22 @@
         if news.failed:
             return news
         if news.whole:
-            self._told.clear()
+            self.told.clear()
             named = {entry.worker for entry in news.entries}
             self.back = {name: times for name, times in self.back.items() if name in named}
         for entry in news.entries:
             if entry.state == i.GONE:
-                self._told.pop(entry.worker, None)
+                self.told.pop(entry.worker, None)
                 self.back.pop(entry.worker, None)
             else:
-                self._told[entry.worker] = entry
+                self.told[entry.worker] = entry
         if not self.banned and not self.back:
             return news
         return replace(news, entries=tuple(self._seen(entry) for entry in news.entries))
 
     def out(self, now: float, worker: str) -> i.WorkerList | None:
         """Ban a worker; what that changes in the list, or None for an id that nothing is known of."""
-        if worker not in self._told and worker not in self.banned:
+        if worker not in self.told and worker not in self.banned:
             return None
         self.banned.setdefault(worker, now)
         self.back.pop(worker, None)
@@ -52,12 +52,12 @@
 
     def online(self, now: float, worker: str) -> i.WorkerList | None:
         """End a worker's ban; what that changes in the list, or None for an id that nothing is known of."""
-        if worker not in self._told and worker not in self.banned:
+        if worker not in self.told and worker not in self.banned:
             return None
         since = self.banned.pop(worker, None)
         if since is None:
             return i.WorkerList()  # it was in all along, or the call came twice
-        if worker in self._told:
+        if worker in self.told:
             self.back[worker] = since, now
         return self._news(worker)
 
@@ -67,11 +67,11 @@
         self.banned.update(banned)
         self.back.update(back)
         for entry in told:
-            self._told.setdefault(entry.worker, entry)
-        return i.WorkerList(tuple(self._seen(entry) for entry in self._told.values()))
+            self.told.setdefault(entry.worker, entry)
+        return i.WorkerList(tuple(self._seen(entry) for entry in self.told.values()))
 
     def _news(self, worker: str) -> i.WorkerList:
-        entry = self._told.get(worker)
+        entry = self.told.get(worker)
         return i.WorkerList(() if entry is None else (self._seen(entry),))
 
     def _seen(self, entry: i.WorkerEntry) -> i.WorkerEntry:
--- a/micagate/told.py
+++ b/micagate/told.py
@@ -23,3 +23,10 @@
 def worker_key(worker: str) -> str:
     """The thing that a cold worker's room is."""
     return f"w/{worker}"
+
+
+def customer_of(key: str) -> tuple[str, str] | None:
+    """The plan and the customer whose quota and ceiling a thing is; None where it is another thing."""
+    kind, _, rest = key.partition("/")
+    plan, _, customer = rest.partition("/")
+    return (plan, customer) if kind == "c" else None
--- a/oliveloft/backend/connections.py
+++ b/oliveloft/backend/connections.py
@@ -18,6 +18,7 @@
 import httptools
 
 from micagate import interface as i
+from micagate.bodies import keeping
 from oliveloft.backend.rest import Rest
 from oliveloft.bodies.body import Body
 
@@ -28,7 +29,6 @@
 
 MAX_BODY = 64 * 1024
 MAX_HEAD = 16 * 1024
-LONGEST = 48 * 1024 * 1024  # bytes of a long body, unless set otherwise
 FLOW = 64 * 1024  # bytes of a long request that wait to be written, beyond which no more are handed on
 SOON = 0.1  # seconds after which the first bytes of an answer of unknown length go on
 STANDS = 8.0  # seconds without a byte after which a long body stands still for good
@@ -356,9 +356,7 @@
             self._size += len(data)
             if self._size > MAX_HEAD + self._pool.longest:
                 raise Oversize
-            if not self._sink.more(data) and not self._held and self.transport is not None:
-                self._held = True
-                self.transport.pause_reading()
+            self._more(self._sink, data)
             return
         if self._complete:
             return
@@ -387,9 +385,13 @@
         self._moved = self._pool.loop.time()
         body, self._body = self._body, []
         for data in body:
-            if not sink.more(data) and not self._held and self.transport is not None:
-                self._held = True
-                self.transport.pause_reading()
+            self._more(sink, data)
+
+    def _more(self, sink: Sink, data: bytes) -> None:
+        """Pass a piece on, and read no further where the client takes no more."""
+        if not sink.more(data) and not self._held and self.transport is not None:
+            self._held = True
+            self.transport.pause_reading()
 
     def on_message_complete(self) -> None:
         """The answer is whole, unless it only announces another."""
@@ -478,7 +480,7 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop, limit: int, connect_timeout: float,
                  idle_close: float, drain_grace: float, max_body: int = MAX_BODY,
-                 longest: int = LONGEST) -> None:
+                 longest: int = keeping.LONGEST) -> None:
         self.loop, self.max_body, self.longest = loop, max_body, max(longest, max_body)
         self._limit, self._connect_timeout, self._grace = limit, connect_timeout, drain_grace
         self.rest = Rest(IDLE_SHARE * idle_close, loop.time())
@@ -542,6 +544,11 @@
             connection.idle_since = idle_since
             process.idle.sort(key=lambda each: each.idle_since)
 
+    def address(self, name: str) -> tuple[str, int] | None:
+        """Where a worker on the list listens."""
+        process = self._processes.get(name)
+        return process.address if process is not None else None
+
     def ban(self, name: str) -> None:
         """An operator takes a worker out: nothing new goes there, and what is coming up for it is taken back."""
         self._banned.add(name)
--- a/oliveloft/front/http.py
+++ b/oliveloft/front/http.py
@@ -16,7 +16,7 @@
 from micagate import interface as i
 from micagate.bodies import keeping
 from micagate.operating.presence import Presence
-from oliveloft.backend.connections import HOP_BY_HOP, LONGEST, MAX_BODY, MAX_HEAD, STANDS, Connection
+from oliveloft.backend.connections import HOP_BY_HOP, MAX_BODY, MAX_HEAD, STANDS, Connection
 from oliveloft.bodies.body import Body
 from oliveloft.gatekeeper.bridge import Bridge, Request
 
@@ -28,7 +28,6 @@
 LINGER = 0.5  # seconds that a turned-down client has to read the reply and to close
 LINGER_BYTES = 2 * MAX_BODY  # of the rest of a turned-down request that are read off in that time
 SENT = 128 * 1024  # bytes of a long answer that the system may take for a client that reads slowly
-HELD = 24 * 1024 * 1024  # bytes of long bodies that are held for further attempts, unless set otherwise
 MISTAKES = 3  # requests turned down on one connection, after which it is closed
 PIPELINE = 16  # requests held of one connection before it is read no further, or bytes of their bodies
 PIPELINE_BYTES = MAX_BODY
@@ -176,8 +175,7 @@
         try:
             self._parser.feed_data(data)
             # Guards the memory: the parser gathers a header or trailer to its end, and tells only then.
-            long = self._incoming is not None and (self._incoming.long is not None or self._incoming.begun)
-            if long:
+            if self._incoming is not None and self._incoming.long is not None:
                 self._unread = 0  # a bound of its own holds
             if self._unread > MAX_HEAD + 4 * MAX_BODY or (self._unread > 2 * MAX_HEAD and not self._headed):
                 self._turn_down(431, "head too large")
@@ -299,8 +297,7 @@
         if not self._held or self._transport is None:
             return
         if incoming is not None and incoming.long is not None and not incoming.long.reads_on():
-            if not self._paused:
-                self._server.budget.wait(self._drained)
+            self._server.budget.wait(self._drained)
             return
         self._held, self._moved = False, self._server.loop.time()
         self._transport.resume_reading()
@@ -571,8 +568,8 @@
     """All client connections, and the bound on them."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, settings: i.Settings, units_top: float, limit: int,
-                 kept: int, bridge: Bridge, presence: Presence | None = None, longest: int = LONGEST,
-                 held: int = HELD) -> None:
+                 kept: int, bridge: Bridge, presence: Presence | None = None, longest: int = keeping.LONGEST,
+                 held: int = keeping.HELD) -> None:
         self.loop, self.bridge = loop, bridge
         self.presence = Presence() if presence is None else presence
         self.longest, self.budget = max(longest, MAX_BODY), keeping.Budget(held)
--- a/oliveloft/gatekeeper/bridge.py
+++ b/oliveloft/gatekeeper/bridge.py
@@ -13,7 +13,7 @@
 
 from micagate import interface as i
 from micagate.gateway import Gateway
-from oliveloft.backend.connections import Answer, Attempt, Connection, Endpoint, Workers
+from oliveloft.backend.connections import Answer, Attempt, Connection, Workers
 from oliveloft.bodies.body import Body
 from oliveloft.counter.client import Counter
 from oliveloft.discovery.watch import News
@@ -58,6 +58,10 @@
         self.timer: asyncio.TimerHandle | None = None
         self.timers: list[asyncio.TimerHandle] = []  # the module's
 
+    def kept(self) -> bool:
+        """Whether what a further attempt would need of it is still here."""
+        return not isinstance(self.body, Body) or self.body.kept
+
 
 class Bridge:
     """Between the sockets and the module."""
@@ -69,7 +73,6 @@
         self._counter = counter
         self._inbox: deque[tuple[i.Event, str]] = deque()  # events, and the request that each is about
         self._busy = False
-        self.listed: dict[str, Endpoint] = {}
         # Told of each attempt once another process takes this one's place.
         self.began: Callable[[str, int], None] | None = None
         self.ended: Callable[[Attempt, i.Outcome], None] | None = None
@@ -103,8 +106,7 @@
     def _told(self, request: Request) -> None:
         if not request.told:
             request.told = True
-            kept = not isinstance(request.body, Body) or request.body.kept
-            self._hand(i.Whole(request.event.request, kept), request.event.request)
+            self._hand(i.Whole(request.event.request, request.kept()), request.event.request)
 
     def _written(self, attempt: Attempt) -> None:
         """A worker has all of a request."""
@@ -140,13 +142,6 @@
 
     def news(self, news: News) -> None:
         """Discovery has told of changes."""
-        if news.whole:
-            self.listed.clear()
-        for endpoint in news.endpoints:
-            if endpoint.entry.state == i.GONE:
-                self.listed.pop(endpoint.entry.worker, None)
-            else:
-                self.listed[endpoint.entry.worker] = endpoint
         self._workers.update(news.endpoints, news.whole)
         self._hand(i.WorkerList(tuple(e.entry for e in news.endpoints), whole=news.whole), "")
 
@@ -263,7 +258,7 @@
             self._end(request, 200, b"".join(answer.headers), answer.body)
         outcome = i.Outcome(
             request=attempt.request, attempt=attempt.number, worker=attempt.worker, status=status,
-            terminal=request.ended, kept=not isinstance(request.body, Body) or request.body.kept,
+            terminal=request.ended, kept=request.kept(),
             took=(attempt.first or self._loop.time()) - attempt.began,  # of a long one, until it began
             used=answer.used if answer is not None else None,
             used_age=self._loop.time() - answer.told if answer is not None else 0.0)
--- a/oliveloft/gatekeeper/config.py
+++ b/oliveloft/gatekeeper/config.py
@@ -11,12 +11,13 @@
 from typing import Any
 
 from micagate.adapter import settings as read_settings
+from micagate.bodies import keeping
 from micagate.interface import Settings
 
 MICRO = 1_000_000
 MEGA = 1024 * 1024
 BASE = 48  # MB that the process needs beside the bodies it holds: itself, and their windows
-HELD_SHARE, MOST_HELD, LEAST_HELD = 0.75, 24, 1  # of the rest; MB
+HELD_SHARE, LEAST_HELD = 0.75, 1  # of the rest; MB
 
 
 class ConfigError(Exception):
@@ -40,8 +41,8 @@
     idle_close: float
     units_top: float
     management: tuple[str, int] | None = None  # the operators' address
-    longest: int = 48 * MEGA  # bytes of a body, of a request or of an answer
-    held: int = 24 * MEGA  # bytes of long bodies that are held at once, all together
+    longest: int = keeping.LONGEST  # bytes of a body, of a request or of an answer
+    held: int = keeping.HELD  # bytes of long bodies that are held at once, all together
     accept_fd: int | None = None  # the clients' listening socket, where whoever started the process holds it
 
 
@@ -104,7 +105,7 @@
         management = _address(raw, env, "management", "PROXY_MANAGEMENT", 0)
     return Config(
         management=management, accept_fd=_accept_fd(env),
-        longest=_megabytes(raw, "body_mb", 48.0), held=_held(raw),
+        longest=_megabytes(raw, "body_mb", keeping.LONGEST / MEGA), held=_held(raw),
         name=str(raw.get("name") or env.get("PROXY_NAME") or "oliveloft"),
         listen=_address(raw, env, "listen", "PROXY_LISTEN", 0),
         discovery=_address(raw, env, "discovery", "PROXY_DISCOVERY", 1),
@@ -150,9 +151,9 @@
     """What long bodies may hold: of the memory that the limit leaves, unless it is set."""
     limits = raw.get("limits", {})
     if isinstance(limits, dict) and "held_mb" in limits:
-        return _megabytes(raw, "held_mb", MOST_HELD)
+        return _megabytes(raw, "held_mb", keeping.HELD / MEGA)
     memory = _megabytes(raw, "memory_mb", 192.0) / MEGA
-    return int(max(LEAST_HELD, min(MOST_HELD, HELD_SHARE * (memory - BASE))) * MEGA)
+    return int(max(LEAST_HELD, min(keeping.HELD / MEGA, HELD_SHARE * (memory - BASE))) * MEGA)
 
 
 def _sockets(raw: dict[str, Any]) -> int:
--- a/oliveloft/takeover/place.py
+++ b/oliveloft/takeover/place.py
@@ -83,8 +83,9 @@
         return {"clock_offset": self.offset, "left": self._presence.left,
                 "index": watch.index if watch is not None else None,
                 "told_by": list(watch.where) if watch is not None else None,
-                "list": [[e.entry.worker, e.entry.zone, e.entry.cell, e.entry.state, e.entry.size, e.entry.started,
-                          *e.address] for e in self._bridge.listed.values()]}
+                "list": [[e.worker, e.zone, e.cell, e.state, e.size, e.started, *address]
+                         for e in self._gateway.maintenance.told.values()
+                         if (address := self._workers.address(e.worker)) is not None]}
 
     def gone(self) -> None:
         """The taker serves: idle connections go to it, others once their reply is out."""
--- a/rig/bulk.py
+++ b/rig/bulk.py
@@ -208,3 +208,13 @@
     def close(self) -> None:
         """End the connection at once."""
         self.writer.transport.abort()
+
+
+async def at_once(port: int, count: int, size: int) -> None:
+    """So many long bodies at once, every other one an answer; each has to come whole."""
+    async def one(number: int) -> tuple[int, str, int, int, bool]:
+        client = await BulkClient.connect(port)
+        return await client.ask(size=size) if number % 2 else await client.ask("read", want=f"give={size}")
+
+    got = await asyncio.gather(*(one(number) for number in range(count)))
+    assert all(each[0] == 200 and each[4] for each in got), got
--- a/rig/scripted.py
+++ b/rig/scripted.py
@@ -89,6 +89,14 @@
     return script
 
 
+def once(go: asyncio.Event, script: Script | None = None) -> Script:
+    """A script that does as another one (it answers, if none is named) once `go` is set."""
+    async def waits(request: Message, writer: asyncio.StreamWriter) -> None:
+        await go.wait()
+        await (script or answer())(request, writer)
+    return waits
+
+
 async def hang(request: Message, writer: asyncio.StreamWriter) -> None:
     """A script that never answers."""
 
--- a/tests/bodies/test_streaming.py
+++ b/tests/bodies/test_streaming.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from rig.bulk import BulkClient, BulkWorker, check
-from rig.memory import resident
+from rig.bulk import BulkClient, BulkWorker, at_once, check
+from rig.memory import highest, resident
 from rig.scripted import Client, run, scene, until
 
 MB = 1 << 20
@@ -69,25 +69,7 @@
     async def scenario():
         worker, size = BulkWorker("w"), 32 * MB
         async with scene(worker, limits={"memory_mb": 80}) as (gatekeeper, _, _):
-            most, done = 0, asyncio.Event()
-
-            async def watch():
-                nonlocal most
-                while not done.is_set():
-                    most = max(most, resident(gatekeeper.process.pid))
-                    await asyncio.sleep(0.02)
-
-            async def one(n):
-                client = await BulkClient.connect(gatekeeper.port)
-                if n % 2:
-                    return await client.ask(size=size)
-                return await client.ask("read", want=f"give={size}")
-
-            watching = asyncio.create_task(watch())
-            got = await asyncio.gather(*(one(n) for n in range(20)))
-            done.set()
-            await watching
-            assert [each[0] for each in got] == [200] * 20 and all(each[4] for each in got)
+            most = await highest(gatekeeper.process.pid, at_once(gatekeeper.port, 20, size))
             assert sorted(each[1] for each in worker.took if each[1]) == [size] * 10
             assert most < 80 * MB
     run(scenario())
--- a/tests/gatekeeper/test_process.py
+++ b/tests/gatekeeper/test_process.py
@@ -9,7 +9,7 @@
 import pytest
 
 from rig.memory import resident
-from rig.scripted import Client, Discovery, Worker, answer, config, hang, launch, run, scene, until
+from rig.scripted import Client, Discovery, Worker, answer, config, hang, launch, once, run, scene, until
 
 
 def without(key, **changes):
@@ -75,12 +75,7 @@
         worker = Worker("w", hang)
         async with scene(worker, ends=True) as (gatekeeper, _, client):
             go = asyncio.Event()
-
-            async def wait(request, writer):
-                await go.wait()
-                await answer()(request, writer)
-
-            worker.script = wait
+            worker.script = once(go)
             idle = await gatekeeper.client()
             client.send(Client.request("write", timeout="3.0"))
             await until(lambda: len(worker.seen) == 1)
@@ -102,12 +97,7 @@
         worker, other = Worker("w", hang), await Worker("v").start()
         async with scene(worker) as (gatekeeper, old, client):
             go = asyncio.Event()
-
-            async def wait(request, writer):
-                await go.wait()
-                await answer()(request, writer)
-
-            worker.script = wait
+            worker.script = once(go)
             client.send(Client.request("write", timeout="3.0"))
             await until(lambda: worker.seen)
             new = await Discovery([worker.entry(), other.entry()]).start()
--- a/tests/handover/test_state.py
+++ b/tests/handover/test_state.py
@@ -86,7 +86,7 @@
     for queue, other in zip(module.quotas.table.queues, taker.quotas.table.queues, strict=True):
         assert list(queue) == list(other)
         for key, account in queue.items():
-            assert state.account_row(account) == state.account_row(other[key])
+            assert state.account_row(account, True) == state.account_row(other[key], True)
             assert account.out == other[key].out and account.depth == other[key].depth
     mine, theirs = state.core(module), state.core(taker)
     for core in (mine, theirs):
@@ -213,7 +213,7 @@
     state.put_accounts(taker, now, rest)
     for queue in quotas.table.queues:
         for key, account in queue.items():
-            assert state.account_row(taker.quotas.table.get(key)) == state.account_row(account), key
+            assert state.account_row(taker.quotas.table.get(key), True) == state.account_row(account, True), key
 
 
 def test_debts_go_over_with_what_comes_meanwhile():
--- a/tests/manage/test_operations.py
+++ b/tests/manage/test_operations.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from rig.scripted import Client, Discovery, Worker, answer, config, hang, launch, run, scene, spawn, until
+from rig.scripted import Client, Discovery, Worker, answer, config, hang, launch, once, run, scene, spawn, until
 
 
 def test_calls_are_answered_whatever_form_they_come_in():
@@ -98,12 +98,7 @@
         async with scene(worker) as (gatekeeper, _, idle):
             assert (await idle.ask()).status == 200
             go = asyncio.Event()
-
-            async def wait(request, writer):
-                await go.wait()
-                await answer()(request, writer)
-
-            worker.script = wait
+            worker.script = once(go)
             held = await gatekeeper.client()
             held.send(Client.request("write", timeout="3.0"))
             await until(lambda: len(worker.seen) == 2)
--- a/tests/takeover/test_takeover.py
+++ b/tests/takeover/test_takeover.py
@@ -9,7 +9,7 @@
 import pytest
 
 from rig.house import House, Load
-from rig.scripted import Client, Worker, answer, config, run, until
+from rig.scripted import Client, Worker, answer, config, once, run, until
 
 PLANS = [{"AtOnce": 0, "BeyondEarns": 0, "CapDepth": 0, "CapSlack": 0, "ExcessCost": 1, "HardRate": 0,
           "MostAtOnce": 5, "Name": "free", "Refill": 0.01}]
@@ -39,12 +39,7 @@
         async with House(worker) as house:
             old = await house.process()
             client = Client(*await asyncio.open_connection("127.0.0.1", old.port))
-
-            async def wait(request, writer):
-                await go.wait()
-                await answer()(request, writer)
-
-            worker.script = wait
+            worker.script = once(go)
             client.send(Client.request("write", timeout="3.0"))
             await until(lambda: worker.seen)
             worker.script = answer()
@@ -165,12 +160,7 @@
             old = await house.process()
             clients = [Client(*await asyncio.open_connection("127.0.0.1", house.port)) for _ in range(8)]
             go = asyncio.Event()
-
-            async def turned(request, writer):
-                await go.wait()
-                await answer(503, b"", "X-Not-Processed: 1\r\n")(request, writer)
-
-            worker.script = other.script = turned
+            worker.script = other.script = once(go, answer(503, b"", "X-Not-Processed: 1\r\n"))
             for client in clients:
                 client.send(Client.request("write", timeout="3.0"))
             await until(lambda: len(worker.seen) + len(other.seen) == 8)
