Hand 30,000 customers over in steps under 5 ms, half of the time

Need: the handover of 30,000 customers took 4.8 s (a taker gives up at 5) with a longest step of 114 ms; the aim is 5 ms, and memory that lasts walks the same state. Cause, by a record of collections and steps: of the longest step 89 ms were the collector's, which looked at all accounts on the taker's side again and again (gc off: 10 ms); the rest were 16 messages read in one go and a list of all customers made at the start (5 ms). Of the time two thirds were the generic check of each field. Ruled out: the encoder (0.08 s of 6.5), debts, the socket. Change: plain numbers are checked by their kind first; the taker freezes what it has taken (accounts are in no cycle); a turn of reading lasts 1 ms; each queue's names are listed in a step of their own. Failed: names by first use take 0.2 ms, but the taker then drops the wrong customers first.

--- a/micagate/handover/fields.py
+++ b/micagate/handover/fields.py
@@ -16,9 +16,16 @@
     """A state that cannot be restored; the text names the value."""
 
 
+PLAIN = frozenset((float, int, str, type(None)))  # a yes or no is none: it has to stay one
+
+
 def take(owner: object, names: Iterable[str]) -> dict[str, Any]:
     """The named fields: numbers, texts, and lists and mappings of them."""
-    return {name: _plain(getattr(owner, name)) for name in names}
+    state = {name: getattr(owner, name) for name in names}
+    for name, value in state.items():
+        if type(value) not in PLAIN:
+            state[name] = _plain(value)
+    return state
 
 
 def _plain(value: Any) -> Any:
@@ -33,7 +40,12 @@
     """Set the named fields from a state. Damaged where a value is no such thing."""
     for name in names:
         if name in state:
-            setattr(owner, name, _as(state[name], getattr(owner, name), f"{type(owner).__name__}.{name}"))
+            value, old = state[name], getattr(owner, name)
+            # Most are plain numbers: asked for first, as 30,000 customers have a million of them.
+            if type(value) in PLAIN and type(old) in PLAIN and value == value:
+                setattr(owner, name, value)
+            else:
+                setattr(owner, name, _as(value, old, f"{type(owner).__name__}.{name}"))
 
 
 def _as(value: Any, old: Any, what: str) -> Any:
--- a/micagate/handover/state.py
+++ b/micagate/handover/state.py
@@ -49,31 +49,42 @@
         self._since = now  # whatever was used last before this is given once the round is over
         self._rounds = 0
         self._given: set[str] = set()
-        self._keys = [(key, bool(often)) for often, queue in enumerate(gateway.quotas.table.queues) for key in queue]
-        self._next = 0
+        self._keys: list[list[str]] = [[], []]  # those left of a queue, the next one last
+        self._untold = [False, True]  # queues that nothing was taken of yet: one at a time, as even their names take ms
 
     def debts(self) -> dict[str, Any] | None:
         """The next of the debts; None where all were given."""
         return next(self._debts, None)
 
+    def lists(self) -> bool:
+        """Take the names of the next queue, if it is time: a step of its own, as 30,000 names take 3 ms."""
+        if any(self._keys) or not self._untold:
+            return False
+        often = self._untold.pop()
+        self._keys[often] = list(self._quotas.table.queues[often].keys())  # a third faster than by the queue itself
+        self._keys[often].reverse()
+        return True
+
     def more(self, now: float, most: int) -> list[dict[str, Any]]:
         """The next accounts, `most` of them; none where no further round is worth it."""
-        if self._next >= len(self._keys):
+        while self.lists():
+            pass
+        if not any(self._keys):
             used = list(self._used())
             if len(used) <= FEW or self._rounds >= ROUNDS:
                 return []
             self._rounds += 1
-            self._keys, self._next = used, 0
+            self._keys = [[key for key, often in used if often == queue] for queue in (False, True)]
             self._since = now
         rows: list[dict[str, Any]] = []
-        while len(rows) < most and self._next < len(self._keys):
-            key, often = self._keys[self._next]
-            self._next += 1
+        while len(rows) < most and any(self._keys):
+            often = not self._keys[0]
+            key = self._keys[often].pop()
             account = self._quotas.table.get(key)
             if account is not None:
                 self._given.add(key)
                 rows.append(account_row(account, often))
-        return rows
+        return rows or self.more(now, most)
 
     def _used(self) -> Iterator[tuple[str, bool]]:
         """The customers who asked since this round began, or were never given."""
--- a/oliveloft/takeover/channel.py
+++ b/oliveloft/takeover/channel.py
@@ -10,6 +10,7 @@
 
 from oliveloft.takeover import wire
 
+TURN = 0.001  # seconds in a row for what comes: clients wait meanwhile
 Heard = Callable[[wire.Message, int | None], None]
 
 
@@ -56,9 +57,8 @@
         self._loop.remove_writer(self._sock.fileno())
 
     def _read(self) -> None:
-        for _ in range(16):  # then others have their turn
-            if not self.open:
-                return
+        until = self._loop.time() + TURN
+        while self.open and self._loop.time() < until:  # then others have their turn
             try:
                 data, fds, _, _ = socket.recv_fds(self._sock, wire.LONGEST, 1)
             except (BlockingIOError, InterruptedError):
--- a/oliveloft/takeover/giver.py
+++ b/oliveloft/takeover/giver.py
@@ -22,7 +22,7 @@
 log = logging.getLogger("oliveloft")
 
 FILE = "oliveloft.takeover"  # in the temporary folder
-ROWS = 40  # accounts in a message: a millisecond's work
+ROWS = 20  # accounts in a message: a millisecond's work
 ROOM = 4  # messages that wait to go, beyond which the copy pauses
 CLOCKS = 5.0  # seconds by which both clocks may differ, or they are not one
 
@@ -145,6 +145,8 @@
         if channel.waiting < ROOM:
             if (debts := copy.debts()) is not None:
                 channel.send(wire.Part("debts", debts))
+            elif copy.lists():
+                pass
             elif rows := copy.more(self._clock(), ROWS):
                 channel.send(wire.Accounts(rows))
             else:
--- a/oliveloft/takeover/taker.py
+++ b/oliveloft/takeover/taker.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import logging
 import socket
 from collections.abc import Callable
@@ -154,6 +155,9 @@
         """Put accounts in as they come, so that no step is long at the end."""
         rows, self._rows = self._rows, []
         state.put_accounts(self._gateway, self._clock(), rows)
+        # Guards whoever waits against collections that look at all customers, ever more of them: 90 ms with 30,000. An
+        # account is in no cycle, so it is freed without them.
+        gc.freeze()
 
     def _restore(self, now: float) -> None:
         self._receiver.receive(self._parts)
--- a/rig/power.py
+++ b/rig/power.py
@@ -27,22 +27,32 @@
     """The share of arrivals that one gatekeeper serves in their aim that knows each worker's queue and warmth.
 
     The workers start cold as the time begins. A request goes where it would be done first, or nowhere if that is
-    late.
+    later than a bound. Queues slow the work, so the best of several bounds up to the aim is taken.
     """
+    return max(_greedy(rate, seconds, workers, service, aim, bound * aim, seed, cv) for bound in (0.25, 0.5, 0.75, 1.0))
+
+
+def _greedy(rate: float, seconds: float, workers: Sequence[Capacity], service: float, aim: float, bound: float,
+            seed: int, cv: float) -> float:
     random, loads = Random(seed), [Load(capacity, started=0.0) for capacity in workers]
     shape, at, asked, served = 1 / cv ** 2, 0.0, 0, 0
     while (at := at + random.expovariate(rate)) < seconds:
         asked += 1
         work = random.gammavariate(shape, 1 / shape) * service
-        best = min(loads, key=lambda load: (load.free(at) - at) + work / load.warmth(at))
-        # Its own work is slowed by what waits: what would be late is refused, and harms nobody.
-        if best.free(at) - at + work * (1 + best.capacity.thrash * best.waiting(at)) / best.warmth(at) > aim:
+        best = min(loads, key=lambda load: load.free(at) - at + _takes(load, at, work))
+        if best.free(at) - at + _takes(best, at, work) > bound:
             continue
         done = best.arrive(at, work)
         served += done is not None and done - at <= aim
     return served / max(1, asked)
 
 
+def _takes(load: Load, at: float, work: float) -> float:
+    """How long work takes at a worker, as slow as its queue and its cold make it."""
+    slow = 1 + load.capacity.thrash * load.waiting(at) / load.capacity.cores
+    return work * slow / (load.capacity.speed * load.warmth(at))
+
+
 class Loss:
     """Power goes from all gatekeepers of an installation, and from its workers if told, and comes back."""
 
