--- a/micagate/accounts.py
+++ b/micagate/accounts.py
@@ -16,7 +16,7 @@
     __slots__ = ("plan", "spread", "over", "span", "key", "first", "tally", "most", "depth", "floor", "slice",
                  "stood", "store", "whole", "ceiling", "at", "tick", "asked", "forecast", "longer", "top",
                  "use", "read", "readings", "fresh", "out", "took", "full_until",
-                 "counted", "silent", "filled")
+                 "counted", "silent", "filled", "held")
 
     def __init__(self, plan: i.Plan, key: str, spread: int, now: float, born: float) -> None:
         self.plan, self.key, self.spread = plan, key, spread
@@ -36,6 +36,7 @@
         self.silent: float | None = None  # since when its counts have had no answer
         self.filled = now  # up to when the ceiling's part was filled since
         self.full_until = now  # a counted total has told that there is no room before
+        self.held: float | None = None  # of the ceiling's part: not to be spent by what stands on disk
         self.out, self.took = 0, 0.0  # attempts out, and how long one is, on average; 0: none has ended
 
     def metered(self, now: float, used: float, meter: Meter, age: float = 0.0) -> None:
--- a/micagate/fleet.py
+++ b/micagate/fleet.py
@@ -34,6 +34,7 @@
     def __init__(self, settings: i.Settings, random: Random, now: float, shares: Shares) -> None:
         self._s, self._random, self._shares = settings, random, shares
         self.workers: dict[str, Worker] = {}
+        self.among = settings.gateways  # those that may send to a cold worker
         self.owed: dict[str, float] = {}  # put back by operators, when, and not heard of since
         self._usual: dict[str, float] = {}
         self._done, self._done_at = 0.0, now
@@ -141,13 +142,13 @@
         """
         if (warm := self.warmth(now, worker)) is None:
             return True
-        over, _ = self._shares.over(now, worker_key(worker.entry.worker), self._s.gateways)
-        if self.arcs.keeps and over == self._s.gateways:  # only those send to it in whose arcs it is
+        over, _ = self._shares.over(now, worker_key(worker.entry.worker), self.among)
+        if self.arcs.keeps and over == self.among:  # only those send to it in whose arcs it is
             over = max(1.0, over * self.arcs.overlap())
         cap = (self._s.overload_factor - 1) * warm * self.rate(now) * self._s.fall_time
         alone = (self._s.overload_factor - 1) * warm * self._s.fall_time / self.brisk / over
-        if over > self._s.gateways:
-            cap *= self._s.gateways / over  # lent; what is borrowed only shortens the turns
+        if over > self.among:
+            cap *= self.among / over  # lent; what is borrowed only shortens the turns
         spare = max(SPARE * cap, TOGETHER / over, alone)
         if spare <= 0:
             return False  # all of it is lent
--- a/micagate/quotas.py
+++ b/micagate/quotas.py
@@ -6,6 +6,7 @@
 from micagate.accounts import Account
 from micagate.debts import Debts
 from micagate.estimates.metering import BINS, Meter
+from micagate.recovery.marks import Marks
 from micagate.shares import Shares
 from micagate.table import Table
 from micagate.told import customer_key
@@ -31,6 +32,7 @@
         self._born, self.shares = now, Shares() if shares is None else shares
         self._surveyed: dict[str, Account] | None = None  # asked since the last survey, if any
         self.table, self.debts = Table(most), Debts(salt)
+        self.marks: Marks | None = None  # of ceilings, where there is a memory that lasts
 
     def account(self, now: float, customer: str, plan: i.Plan, spread: int) -> Account:
         """The customer's entry brought up to now; entries idle for long and full again are dropped.
@@ -43,7 +45,9 @@
         account = self.table.get(key)
         if account is None:
             account = Account(plan, key, spread, now, self._born)
-            account.owe(self.debts.owed(now, key))
+            account.owe(owed := self.debts.owed(now, key))
+            if self.marks is not None:
+                self.marks.opened(now, account, owed)
         elif account.spread != spread:
             account.spread = spread
             self._divide(account, spread, spread)
@@ -96,6 +100,8 @@
         if a.over == a.spread and 0 < a.plan.ceiling_rate * part < LEAST and self.meter.period:
             part += MOVED * (a.whole.share() - part)
         a.ceiling = min(a.plan.ceiling_depth / a.span, a.ceiling + elapsed * a.plan.ceiling_rate * part)
+        if a.held is not None:
+            a.held = min(a.plan.ceiling_depth / a.span, a.held + elapsed * a.plan.ceiling_rate * part)
         seconds = int(now - a.tick)
         if seconds:
             a.tick += seconds
@@ -146,6 +152,8 @@
         """Whether the ceiling has room; what goes beyond the quota leaves half of it to what is inside."""
         if not a.plan.ceiling_rate:
             return True
+        if self.marks is not None and not self.marks.lets(a, units):
+            return False
         return a.ceiling >= units + (a.plan.ceiling_depth / a.span / 2 if beyond else 0.0)
 
     def count(self, a: Account, request: i.Request) -> None:
@@ -168,6 +176,8 @@
             self.arrived(a.at, a, units)
         if a.plan.ceiling_rate and not counted:
             a.ceiling -= units
+            if self.marks is not None:
+                self.marks.spent(a)
         if inside and a.plan.rate:
             a.store -= units
 
--- /dev/null
+++ b/micagate/recovery/marks.py
@@ -0,0 +1,165 @@
+"""Ceilings over a crash: marks ahead, which say how far an account may be spent before the next mark is on disk.
+
+A mark is a level of the account's part of the ceiling, and when it was made. From then on this gateway keeps the part
+at or above that level, filled since at the part's rate (a leaky bucket below the leaky bucket); so after a crash, however
+sudden, the part holds at least what the mark says, and beginning with just that spends nothing twice. It is the rule of
+a write-ahead log (Mohan and others, ARIES, 1992) with a lease in units in place of a record for each request.
+
+One mark stands for all accounts that have none of their own (`of_all`): `OPEN` of each part may be spent before its own
+mark is there, so that the first request of a customer waits for no disk.
+
+Harm: after a crash a customer has up to its `lead` less than it could have. While the disk is slow it can spend no more
+than the last mark allows, and is refused beyond.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Mapping
+from typing import NamedTuple
+
+from micagate.accounts import Account
+
+OPEN = 0.5  # of a part that a customer with no mark of its own may spend (ours)
+REQUESTS, SOON = 2.0, 0.5  # a lead: so many of the largest requests seen, or the use of so many seconds, if more (ours)
+AGAIN = 1.0  # seconds within which a mark follows an account that has filled well above it (ours)
+THIN = 2.0  # units a second: a smaller part's rate may have been lowered by what the meter showed (`quotas.MOVED`)
+HALF = 0.5  # ... to this of it at the least
+MOST = 200  # marks made in one step
+
+
+class Mark(NamedTuple):
+    """From `at` on (seconds on the caller's clock) the account `key` is to stay at `level` units or above.
+
+    That fills at `rate` up to `top`, the account's part when the mark was made.
+    """
+
+    key: str
+    level: float
+    at: float
+    top: float
+    rate: float
+
+    def stands(self, now: float) -> float:
+        """What the account holds at the least."""
+        return min(self.top, self.level + max(0.0, now - self.at) * self.rate)
+
+
+def part(a: Account) -> tuple[float, float]:
+    """An account's part of the ceiling: its size in units, and the least that it is filled by in a second."""
+    rate = a.plan.ceiling_rate / a.spread
+    return a.plan.ceiling_depth / a.spread, rate * HALF if rate < THIN else rate
+
+
+def of_all(since: float, now: float, top: float, rate: float) -> float:
+    """What each part holds at the least that has no mark of its own, in a life that began at `since` with empty ones."""
+    return max(0.0, min((1 - OPEN) * top, (now - since) * rate - OPEN * top))
+
+
+def lead(a: Account) -> float:
+    """How far ahead of an account its marks are made, units."""
+    use = max(a.forecast, a.longer)
+    return min(a.plan.ceiling_depth / a.spread, max(REQUESTS * max(1.0, a.top), SOON * use))
+
+
+class Marks:
+    """The marks of one gateway's life, and those that its last one left.
+
+    `kept` is what stands on disk of that; `before` is when that life's mark for all accounts was made (empty parts, from
+    then on), or None where nothing is known of any. This life's own one, at `born`, has to be on disk before a request is
+    served.
+    """
+
+    def __init__(self, born: float, kept: Mapping[str, Mark] | None = None, before: float | None = None) -> None:
+        self._born, self._before = born, born if before is None else min(born, before)
+        self._kept = dict(kept or {})
+        self._mine: dict[str, Mark] = {}  # of this life, and on disk
+        self._out: set[str] = set()  # those whose mark is on its way there
+        self.due: dict[str, Account] = {}  # to be marked now
+        self._used: dict[str, Account] = {}  # spent from since the last look
+
+    def opened(self, now: float, a: Account, short: float) -> None:
+        """An account is made that is `short` seconds of being full, as far as this life knows.
+
+        Begin with what is surely left of its part, and keep to what stands on disk.
+        """
+        if not a.plan.ceiling_rate:
+            return
+        top, rate = part(a)
+        if (mine := self._mine.get(a.key)) is not None:  # it was let go meanwhile
+            a.held = min(top, mine.stands(now))
+            a.ceiling = max(a.ceiling, a.held)
+            return
+        # What its last life left at the least of all that had no mark, and of this one if it had one.
+        left = of_all(self._before, self._born, top, rate)
+        if (kept := self._kept.get(a.key)) is not None:
+            left = kept.stands(self._born) if kept.at >= self._before else min(left, kept.stands(self._born))
+        left = min(top, left + (now - self._born) * rate)
+        a.ceiling = max(0.0, left - short * a.plan.ceiling_rate / a.spread)
+        a.held = of_all(self._born, now, top, rate)
+
+    def lets(self, a: Account, units: float) -> bool:
+        """Whether so much may be spent by what stands on disk; where only that forbids it a mark is due."""
+        if a.held is None or a.ceiling - a.held >= units:
+            return True
+        if a.ceiling >= units:
+            self.due[a.key] = a
+        return False
+
+    def spent(self, a: Account) -> None:
+        """An account was spent from: a mark is due before it comes to the last one."""
+        if a.held is None:
+            return
+        self._used[a.key] = a
+        if a.ceiling - a.held < lead(a) / 2:
+            self.due[a.key] = a
+
+    def look(self) -> None:
+        """Once in `AGAIN`: marks for what is well above its last one, so that a crash costs little."""
+        for a in self._used.values():
+            if a.held is not None and a.ceiling - a.held > 2 * lead(a):
+                self.due.setdefault(a.key, a)
+        self._used.clear()
+
+    def make(self, now: float) -> list[Mark]:
+        """Marks to be written now, `MOST` at the most; one on its way for an account is waited for."""
+        made: list[Mark] = []
+        for key in [key for key in self.due if key not in self._out][:MOST]:
+            a = self.due.pop(key)
+            top, rate = part(a)
+            if a.held is not None:
+                self._out.add(key)
+                made.append(Mark(key, max(0.0, a.ceiling - lead(a)), now, top, rate))
+        return made
+
+    def written(self, now: float, marks: Iterable[Mark], account: Callable[[str], Account | None]) -> None:
+        """Marks are on disk: their accounts may be spent down to them."""
+        for mark in marks:
+            self._out.discard(mark.key)
+            self._mine[mark.key] = mark
+            a = account(mark.key)
+            if a is not None and a.held is not None:
+                a.held = mark.stands(now)
+
+    def failed(self, marks: Iterable[Mark]) -> None:
+        """Marks did not come to be on disk, or may yet: the last ones hold."""
+        for mark in marks:
+            self._out.discard(mark.key)
+
+    def end(self, accounts: Iterable[Account]) -> None:
+        """Nothing is kept any more, nor believed of what was: accounts are spent as with no memory."""
+        for a in accounts:
+            a.held = None
+        self.due.clear()
+        self._used.clear()
+
+    def idle(self, now: float, most: int) -> list[str]:
+        """Marks that say no more than the one for all does: they may be forgotten, here and on disk."""
+        made: list[str] = []
+        for table in (self._mine, self._kept):
+            for key in list(table)[:most - len(made)]:
+                mark = table.pop(key)
+                if mark.stands(now) >= (1 - OPEN) * mark.top and key not in self._out and key not in self.due:
+                    made.append(key)
+                else:
+                    table[key] = mark  # looked at again once all others were
+        return made
--- a/micagate/throttle.py
+++ b/micagate/throttle.py
@@ -28,6 +28,7 @@
         self.rate = self.base = self.fill = 0.0
         self.workers, self.plans = 1, plans
         self.least = LEAST_SIGNALS
+        self.warm = 1.0  # the share of what warm workers do that the present ones can, as told
         self._born = self._leaked = self._since = self._due = self._quiet = self._changed = now
         self._admits: deque[float] = deque()
         self._refusals: deque[float] = deque()
@@ -83,6 +84,19 @@
         self._signals.append((now, worker, plan))
         self.advance(now)
 
+    def returns(self, now: float, rate: float, warm: float) -> None:
+        """Begin under control, before workers cold together: `rate` is what they do once warm."""
+        self.on, self.base, self.rate, self.warm, self.fill = True, rate, rate * warm, warm, 0.0
+        self._leaked = self._quiet = self._changed = now
+        self._begin(now + PAUSE)
+
+    def follow(self, now: float, warm: float) -> None:
+        """The workers can do another share: so does the leak rate. Control by their cold ends with it."""
+        if self.on:
+            self.rate *= warm / self.warm
+            self.on = warm < 1 or self.warm >= 1 or bool(self._signals)
+        self.warm = warm
+
     def advance(self, now: float) -> None:
         """Start, update or end control as due."""
         if not self.on:
--- /dev/null
+++ b/oliveloft/memory/__init__.py
@@ -0,0 +1,1 @@
+"""What outlives the process: a log on disk that is never on a request's way."""
--- /dev/null
+++ b/tests/memory/test_memory.py
@@ -0,0 +1,121 @@
+"""The memory beside the work: what is told to be on disk is there, and a bad disk is said to be one."""
+
+import asyncio
+import time
+
+import pytest
+
+from oliveloft.memory import memory as module
+from oliveloft.memory.files import PlainDisk
+from oliveloft.memory.log import Log
+from oliveloft.memory.memory import Memory, Unusable
+from rig.disks import Broken, Knobs
+from rig.scripted import run, until
+
+
+async def started(folder, knobs=None, **told):
+    memory = Memory(asyncio.get_running_loop(), Broken(PlainDisk(str(folder)), knobs or Knobs()), "g1", **told)
+    found = await memory.open()
+    await memory.begin(found.records)
+    return memory, found
+
+
+def test_what_is_kept_is_on_disk_when_told_and_the_rest_soon(tmp_path):
+    async def scenario():
+        memory, _ = await started(tmp_path)
+        assert await memory.keep("ban", "w", [1, "out"])
+        assert Log(PlainDisk(str(tmp_path)), "g1").find().records == {("ban", "w"): [1, "out"]}
+        memory.put("core", "", {"pace": 3.0})
+        await asyncio.sleep(3 * module.FLUSH)
+        assert Log(PlainDisk(str(tmp_path)), "g1").find().records[("core", "")] == {"pace": 3.0}
+        await memory.close([("life", "", {"end": "asked"})])
+        assert Log(PlainDisk(str(tmp_path)), "g1").find().records[("life", "")] == {"end": "asked"}
+    run(scenario())
+
+
+def test_the_folder_is_one_process_s(tmp_path):
+    async def scenario():
+        memory, _ = await started(tmp_path)
+        with pytest.raises(Unusable, match="another process"):
+            await started(tmp_path)
+        await memory.close()
+    run(scenario())
+
+
+def test_a_sync_that_takes_long_holds_nothing_up_but_who_waits_for_it(tmp_path):
+    async def scenario():
+        knobs = Knobs()
+        memory, _ = await started(tmp_path, knobs)
+        knobs.sync_takes = 0.6
+        began = time.monotonic()
+        waiting = [memory.keep("k", str(n), n) for n in range(500)]
+        longest, last = 0.0, time.monotonic()
+        while not all(f.done() for f in waiting):
+            await asyncio.sleep(0.002)
+            longest, last = max(longest, time.monotonic() - last), time.monotonic()
+        assert all(f.result() for f in waiting)
+        assert 0.5 < time.monotonic() - began < 2.5 and longest < 0.2
+        await memory.close()
+    run(scenario())
+
+
+def test_a_disk_that_fails_is_given_up_voided_and_taken_up_again(tmp_path, monkeypatch):
+    monkeypatch.setattr(module, "HOLD", 0.4)
+    monkeypatch.setattr(module, "AGAIN", 0.2)
+
+    async def scenario():
+        knobs, told = Knobs(), []
+        memory, _ = await started(tmp_path, knobs, lost=lambda why: told.append(why), again=lambda: told.append("again"))
+        assert await memory.keep("k", "1", 1)
+        knobs.room = 0
+        assert not await memory.keep("k", "2", 2)
+        await until(lambda: len(told) == 1)
+        assert "full" in told[0] and not memory.believed
+        await until(lambda: Log(PlainDisk(str(tmp_path)), "g1").find().void)
+        assert not await memory.keep("k", "3", 3)
+        knobs.room = -1
+        await until(lambda: told[1:] == ["again"])
+        assert await memory.keep("k", "4", 4)
+        found = Log(PlainDisk(str(tmp_path)), "g1").find()
+        assert not found.void and set(found.records) == {("k", str(n)) for n in (1, 2, 3, 4)}
+        await memory.close()
+    run(scenario())
+
+
+def test_a_disk_that_hangs_is_given_up_though_it_says_nothing(tmp_path, monkeypatch):
+    monkeypatch.setattr(module, "HOLD", 0.4)
+
+    async def scenario():
+        knobs, told = Knobs(), []
+        memory, _ = await started(tmp_path, knobs, lost=lambda why: told.append(why))
+        knobs.sync_takes = 1.5
+        waiting = memory.keep("k", "1", 1)
+        await until(lambda: told)
+        assert "no answer" in told[0] and not memory.believed
+        assert not await waiting  # on disk in the end, but nobody is to rely on it any more
+        knobs.sync_takes = 0.0
+        await asyncio.sleep(1.5)
+        await memory.close()
+    run(scenario())
+
+
+def test_the_log_is_made_anew_while_records_come_and_loses_none(tmp_path, monkeypatch):
+    monkeypatch.setattr(module, "LEAST", 20_000)
+    monkeypatch.setattr(module, "GROWN", 1)
+    monkeypatch.setattr(module, "FLUSH", 0.01)
+
+    async def scenario():
+        memory, _ = await started(tmp_path)
+        for n in range(4000):
+            memory.put("k", str(n % 900), n)
+            if n % 50 == 0:
+                await memory.synced()
+        for n in range(0, 900, 3):
+            memory.put("k", str(n), None)
+        assert await memory.synced()
+        disk = PlainDisk(str(tmp_path))
+        found = Log(disk, "g1").find()
+        assert found.number > 2 and not found.spoilt
+        assert found.records == {("k", str(n % 900)): n for n in range(3100, 4000) if (n % 900) % 3}
+        await memory.close()
+    run(scenario())
