--- a/micagate/accounts.py
+++ b/micagate/accounts.py
@@ -6,6 +6,7 @@
 
 from micagate import interface as i
 from micagate.estimates.metering import UNSEEN, Meter, Whole
+from micagate.recovery.mark import Mark
 
 SMOOTH = 2.0  # seconds that a reading of the meter should span; shorter ones are averaged (ours)
 
@@ -36,7 +37,7 @@
         self.silent: float | None = None  # since when its counts have had no answer
         self.filled = now  # up to when the ceiling's part was filled since
         self.full_until = now  # a counted total has told that there is no room before
-        self.held: float | None = None  # of the ceiling's part: not to be spent by what stands on disk
+        self.held: Mark | None = None  # what stands on disk of the ceiling's part: not to be spent below it
         self.out, self.took = 0, 0.0  # attempts out, and how long one is, on average; 0: none has ended
 
     def metered(self, now: float, used: float, meter: Meter, age: float = 0.0) -> None:
--- a/micagate/estimates/waits.py
+++ b/micagate/estimates/waits.py
@@ -34,6 +34,10 @@
             return False
         return all(abs(wait - time_left) > ALIKE * klass.deadline for wait in self._waits[klass.name])
 
+    def kept(self) -> dict[str, list[float]]:
+        """The waits, by class."""
+        return {name: list(waits) for name, waits in self._waits.items()}
+
     def restore(self, state: Mapping[str, Any]) -> None:
         """Take over what another process has seen."""
         for name, seen in state.items():
--- a/micagate/gateway.py
+++ b/micagate/gateway.py
@@ -69,8 +69,8 @@
                 self._list(now, event)
             case i.Whole(request, kept):
                 self._whole(now, request, kept)
-            case i.Maintain(worker, out):
-                self._maintain(now, worker, out)
+            case i.Maintain():
+                self._maintain(now, event)
             case i.StreamStarted(request, number):
                 self._started(now, request, number, event.took)
             case i.Abandoned(request):
@@ -102,13 +102,13 @@
             else:
                 self._actions.append(i.Subscribe())
 
-    def _maintain(self, now: float, worker: str, out: bool) -> None:
-        news = (self.maintenance.out if out else self.maintenance.online)(now, worker)
-        if news is not None:
+    def _maintain(self, now: float, event: i.Maintain) -> None:
+        change = self.maintenance.out if event.out else self.maintenance.online
+        if (news := change(now, event.worker, event.since)) is not None:
             self.fleet.update(now, news)
-            if not out and news.entries:
-                self.fleet.owed[worker] = now
-        self._actions.append(i.Maintained(worker, news is not None))
+            if not event.out and news.entries:
+                self.fleet.owed[event.worker] = now
+        self._actions.append(i.Maintained(event.worker, news is not None))
 
     def _request(self, now: float, event: i.Request) -> None:
         klass, plan = self.classes.get(event.klass), self.plans.get(event.plan)
--- a/micagate/interface.py
+++ b/micagate/interface.py
@@ -398,10 +398,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Maintain:
-    """An operator takes a worker out, or puts it back; answered with a `Maintained`."""
+    """An operator takes a worker out, or puts it back; answered with a `Maintained`.
+
+    With `since` it was so said elsewhere, at that time, and holds for a worker that is not known here yet.
+    """
 
     worker: str
     out: bool
+    since: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/micagate/membership/messages.py
@@ -0,0 +1,140 @@
+"""What members say to each other, and checks of what others say: shapes only, over any wire."""
+
+from __future__ import annotations
+
+import math
+from typing import Any
+
+import msgspec
+
+from micagate.membership.clock import Stamp
+from micagate.planning.messages import Malformed
+
+MOST = 512  # records, or facts, of a message
+LONGEST = 256  # characters of a name, a kind or a key
+ALIVE, SUSPECT, DEAD = "alive", "suspect", "dead"
+RANK = {ALIVE: 0, SUSPECT: 1, DEAD: 2}
+GONE, SILENT = "gone", "silent"  # why: its machine refuses, or nothing is heard
+
+
+class Record(msgspec.Struct, frozen=True, array_like=True):
+    """What is known of a member: which life of it, the version of what it says of itself, and whether it is there.
+
+    Only the member raises `version`; `by` and `cause` are of those that suspect it. `about` is what it says: its stage,
+    health, versions and how its last life ended, plain values.
+    """
+
+    name: str
+    boot: int
+    version: int
+    status: str = ALIVE
+    by: tuple[str, ...] = ()
+    cause: str = ""
+    about: dict[str, Any] = {}  # noqa: RUF012 - msgspec copies it
+
+    def order(self) -> tuple[int, int, int]:
+        """A later record has a greater one."""
+        return self.boot, self.version, RANK[self.status]
+
+
+class Fact(msgspec.Struct, frozen=True, array_like=True):
+    """Something that holds for the whole fleet until somebody says otherwise later."""
+
+    kind: str
+    key: str
+    stamp: Stamp
+    value: Any
+
+
+class Beat(msgspec.Struct, frozen=True, array_like=True, tag=32):
+    """A sign of life: `number` counts the sender's on this link, `seen` is the last of the other side's that it heard.
+
+    `wall` is the sender's Unix time, `digest` what it has of all records and facts; the rest is news.
+    """
+
+    number: int
+    seen: int
+    wall: float
+    digest: int
+    records: tuple[Record, ...] = ()
+    facts: tuple[Fact, ...] = ()
+
+
+class Sums(msgspec.Struct, frozen=True, array_like=True, tag=33):
+    """All that the sender has, by number and stamp alone; `answer`: the other side is to say the same."""
+
+    records: tuple[tuple[str, int, int, int], ...]
+    facts: tuple[tuple[str, str, Stamp], ...]
+    answer: bool
+
+
+class Asks(msgspec.Struct, frozen=True, array_like=True, tag=34):
+    """A member that comes back asks what is known of it: `boot` is its last life that it remembers, 0 if none, `life`
+    the present one."""
+
+    boot: int
+    life: int
+
+
+class Knows(msgspec.Struct, frozen=True, array_like=True, tag=35):
+    """What a member knows of one that asks: its latest life that was heard of, when it was last heard, and the fleet's.
+
+    `boot` is its latest life before the present one that was heard of, 0: none. `ago` is seconds since it was last
+    heard in that, negative where that is not known; `void`: it has said there that its memory is not to be believed.
+    `up` is how long the sender is up; `back`: it is itself coming back. `workers` has what is known of workers'
+    warmth and health: name, share of a warm one's pace, whether it fails.
+    """
+
+    boot: int
+    ago: float
+    wall: float
+    up: float
+    back: bool
+    workers: tuple[tuple[str, float, bool], ...] = ()
+    pace: float = 0.0  # served a second here, of late
+    void: bool = False
+
+
+Message = Beat | Sums | Asks | Knows
+
+
+def _name(text: str) -> None:
+    if not 0 < len(text) <= LONGEST:
+        raise Malformed(f"a name of {len(text)} characters")
+
+
+def _stamp(stamp: Stamp) -> None:
+    if not 0 <= stamp[0] < 1 << 53 or not 0 <= stamp[1] < 1 << 53 or len(stamp[2]) > LONGEST:
+        raise Malformed(f"a stamp {stamp!r}")
+
+
+def check(message: Message) -> None:
+    """Malformed where a message says what no member would."""
+    match message:
+        case Beat():
+            if len(message.records) > MOST or len(message.facts) > MOST:
+                raise Malformed("too many entries")
+            if not math.isfinite(message.wall) or message.number < 0 or message.seen < 0:
+                raise Malformed("a beat's numbers")
+            for record in message.records:
+                _name(record.name)
+                if record.status not in RANK or record.boot < 0 or record.version < 0 or len(record.by) > 64:
+                    raise Malformed(f"a record of {record.name[:64]!r}")
+            for fact in message.facts:
+                _name(fact.kind)
+                _name(fact.key)
+                _stamp(fact.stamp)
+        case Sums():
+            for _, _, stamp in message.facts:
+                _stamp(stamp)
+            if any(rank not in (0, 1, 2) for _, _, _, rank in message.records):
+                raise Malformed("a rank")
+        case Knows():
+            for name, pace, _ in message.workers:
+                _name(name)
+                if not 0 <= pace <= 1:
+                    raise Malformed(f"a pace of {pace!r}")
+            if not all(map(math.isfinite, (message.ago, message.wall, message.up, message.pace))):
+                raise Malformed("a time")
+        case Asks():
+            pass
--- a/micagate/operating/maintenance.py
+++ b/micagate/operating/maintenance.py
@@ -42,17 +42,20 @@
             return news
         return replace(news, entries=tuple(self._seen(entry) for entry in news.entries))
 
-    def out(self, now: float, worker: str) -> i.WorkerList | None:
-        """Ban a worker; what that changes in the list, or None for an id that nothing is known of."""
-        if worker not in self.told and worker not in self.banned:
+    def out(self, now: float, worker: str, since: float | None = None) -> i.WorkerList | None:
+        """Ban a worker; what that changes in the list, or None for an id that nothing is known of.
+
+        With `since` it was known elsewhere, and is banned from then on whether or not the list has it yet.
+        """
+        if worker not in self.told and worker not in self.banned and since is None:
             return None
-        self.banned.setdefault(worker, now)
+        self.banned.setdefault(worker, now if since is None else since)
         self.back.pop(worker, None)
         return self._news(worker)
 
-    def online(self, now: float, worker: str) -> i.WorkerList | None:
+    def online(self, now: float, worker: str, since: float | None = None) -> i.WorkerList | None:
         """End a worker's ban; what that changes in the list, or None for an id that nothing is known of."""
-        if worker not in self.told and worker not in self.banned:
+        if worker not in self.told and worker not in self.banned and since is None:
             return None
         since = self.banned.pop(worker, None)
         if since is None:
--- a/micagate/quotas.py
+++ b/micagate/quotas.py
@@ -100,8 +100,6 @@
         if a.over == a.spread and 0 < a.plan.ceiling_rate * part < LEAST and self.meter.period:
             part += MOVED * (a.whole.share() - part)
         a.ceiling = min(a.plan.ceiling_depth / a.span, a.ceiling + elapsed * a.plan.ceiling_rate * part)
-        if a.held is not None:
-            a.held = min(a.plan.ceiling_depth / a.span, a.held + elapsed * a.plan.ceiling_rate * part)
         seconds = int(now - a.tick)
         if seconds:
             a.tick += seconds
--- a/micagate/recovery/marks.py
+++ b/micagate/recovery/marks.py
@@ -1,9 +1,10 @@
 """Ceilings over a crash: marks ahead, which say how far an account may be spent before the next mark is on disk.
 
 A mark is a level of the account's part of the ceiling, and when it was made. From then on this gateway keeps the part
-at or above that level, filled since at the part's rate (a leaky bucket below the leaky bucket); so after a crash, however
-sudden, the part holds at least what the mark says, and beginning with just that spends nothing twice. It is the rule of
-a write-ahead log (Mohan and others, ARIES, 1992) with a lease in units in place of a record for each request.
+at or above that level, filled since at the part's rate (a leaky bucket below the leaky bucket); so after a crash,
+however sudden, the part holds at least what the mark says, and beginning with just that spends nothing twice. It is
+the rule of a write-ahead log (Mohan and others, ARIES, 1992) with a lease in units in place of a record for each
+request.
 
 One mark stands for all accounts that have none of their own (`of_all`): `OPEN` of each part may be spent before its own
 mark is there, so that the first request of a customer waits for no disk.
@@ -14,67 +15,57 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Mapping
-from typing import NamedTuple
+from collections.abc import Callable, Iterable, Iterator, Mapping
 
 from micagate.accounts import Account
+from micagate.recovery.mark import Mark
 
 OPEN = 0.5  # of a part that a customer with no mark of its own may spend (ours)
-REQUESTS, SOON = 2.0, 0.5  # a lead: so many of the largest requests seen, or the use of so many seconds, if more (ours)
+REQUESTS, SOON = 1.0, 0.5  # a lead: so many of the largest requests seen, or the use of so many seconds, if more (ours)
 AGAIN = 1.0  # seconds within which a mark follows an account that has filled well above it (ours)
 THIN = 2.0  # units a second: a smaller part's rate may have been lowered by what the meter showed (`quotas.MOVED`)
 HALF = 0.5  # ... to this of it at the least
 MOST = 200  # marks made in one step
 
 
-class Mark(NamedTuple):
-    """From `at` on (seconds on the caller's clock) the account `key` is to stay at `level` units or above.
-
-    That fills at `rate` up to `top`, the account's part when the mark was made.
-    """
-
-    key: str
-    level: float
-    at: float
-    top: float
-    rate: float
-
-    def stands(self, now: float) -> float:
-        """What the account holds at the least."""
-        return min(self.top, self.level + max(0.0, now - self.at) * self.rate)
-
-
 def part(a: Account) -> tuple[float, float]:
     """An account's part of the ceiling: its size in units, and the least that it is filled by in a second."""
     rate = a.plan.ceiling_rate / a.spread
     return a.plan.ceiling_depth / a.spread, rate * HALF if rate < THIN else rate
 
 
-def of_all(since: float, now: float, top: float, rate: float) -> float:
-    """What each part holds at the least that has no mark of its own, in a life that began at `since` with empty ones."""
-    return max(0.0, min((1 - OPEN) * top, (now - since) * rate - OPEN * top))
+def of_all(key: str, since: float, top: float, rate: float) -> Mark:
+    """The mark for all parts that have none of their own, in a life that began with empty ones at `since`."""
+    return Mark(key, -OPEN * top, since, (1 - OPEN) * top, rate)
 
 
 def lead(a: Account) -> float:
     """How far ahead of an account its marks are made, units."""
-    use = max(a.forecast, a.longer)
-    return min(a.plan.ceiling_depth / a.spread, max(REQUESTS * max(1.0, a.top), SOON * use))
+    return max(REQUESTS * max(1.0, a.top), SOON * max(a.forecast, a.longer))
+
+
+def mark(a: Account, now: float) -> Mark:
+    """A mark of an account as it is now."""
+    (top, rate), ahead = part(a), lead(a)
+    return Mark(a.key, max(0.0, a.ceiling - ahead), now, top - min(ahead, OPEN * top), rate)
 
 
 class Marks:
     """The marks of one gateway's life, and those that its last one left.
 
-    `kept` is what stands on disk of that; `before` is when that life's mark for all accounts was made (empty parts, from
-    then on), or None where nothing is known of any. This life's own one, at `born`, has to be on disk before a request is
-    served.
+    `kept` is what stands on disk of that; `before` is when that life's mark for all accounts was made (empty parts,
+    from then on), or None where nothing is known of any. This life's own one, at `born`, has to be on disk before a
+    request is served.
     """
 
     def __init__(self, born: float, kept: Mapping[str, Mark] | None = None, before: float | None = None) -> None:
-        self._born, self._before = born, born if before is None else min(born, before)
+        self.born, self._before = born, born if before is None else min(born, before)
         self._kept = dict(kept or {})
         self._mine: dict[str, Mark] = {}  # of this life, and on disk
         self._out: set[str] = set()  # those whose mark is on its way there
         self.due: dict[str, Account] = {}  # to be marked now
+        # Told of each account that is made, for what else is kept of it.
+        self.recall: Callable[[float, Account], None] | None = None
         self._used: dict[str, Account] = {}  # spent from since the last look
 
     def opened(self, now: float, a: Account, short: float) -> None:
@@ -82,24 +73,26 @@
 
         Begin with what is surely left of its part, and keep to what stands on disk.
         """
+        if self.recall is not None:
+            self.recall(now, a)
         if not a.plan.ceiling_rate:
             return
         top, rate = part(a)
         if (mine := self._mine.get(a.key)) is not None:  # it was let go meanwhile
-            a.held = min(top, mine.stands(now))
-            a.ceiling = max(a.ceiling, a.held)
+            a.held = mine
+            a.ceiling = max(a.ceiling, min(top, mine.stands(now)))
             return
         # What its last life left at the least of all that had no mark, and of this one if it had one.
-        left = of_all(self._before, self._born, top, rate)
+        left = of_all(a.key, self._before, top, rate).stands(self.born)
         if (kept := self._kept.get(a.key)) is not None:
-            left = kept.stands(self._born) if kept.at >= self._before else min(left, kept.stands(self._born))
-        left = min(top, left + (now - self._born) * rate)
+            left = kept.stands(self.born) if kept.at >= self._before else min(left, kept.stands(self.born))
+        left = min(top, left + (now - self.born) * rate)
         a.ceiling = max(0.0, left - short * a.plan.ceiling_rate / a.spread)
-        a.held = of_all(self._born, now, top, rate)
+        a.held = of_all(a.key, self.born, top, rate)
 
     def lets(self, a: Account, units: float) -> bool:
         """Whether so much may be spent by what stands on disk; where only that forbids it a mark is due."""
-        if a.held is None or a.ceiling - a.held >= units:
+        if a.held is None or a.ceiling - a.held.stands(a.at) >= units:
             return True
         if a.ceiling >= units:
             self.due[a.key] = a
@@ -110,13 +103,13 @@
         if a.held is None:
             return
         self._used[a.key] = a
-        if a.ceiling - a.held < lead(a) / 2:
+        if a.ceiling - a.held.stands(a.at) < max(a.top, lead(a) / 2):
             self.due[a.key] = a
 
     def look(self) -> None:
         """Once in `AGAIN`: marks for what is well above its last one, so that a crash costs little."""
         for a in self._used.values():
-            if a.held is not None and a.ceiling - a.held > 2 * lead(a):
+            if a.held is not None and a.ceiling - a.held.stands(a.at) > 2 * lead(a):
                 self.due.setdefault(a.key, a)
         self._used.clear()
 
@@ -125,25 +118,38 @@
         made: list[Mark] = []
         for key in [key for key in self.due if key not in self._out][:MOST]:
             a = self.due.pop(key)
-            top, rate = part(a)
             if a.held is not None:
                 self._out.add(key)
-                made.append(Mark(key, max(0.0, a.ceiling - lead(a)), now, top, rate))
+                made.append(mark(a, now))
         return made
 
-    def written(self, now: float, marks: Iterable[Mark], account: Callable[[str], Account | None]) -> None:
+    def written(self, marks: Iterable[Mark], account: Callable[[str], Account | None]) -> None:
         """Marks are on disk: their accounts may be spent down to them."""
-        for mark in marks:
-            self._out.discard(mark.key)
-            self._mine[mark.key] = mark
-            a = account(mark.key)
+        for each in marks:
+            self._out.discard(each.key)
+            self._mine[each.key] = each
+            a = account(each.key)
             if a is not None and a.held is not None:
-                a.held = mark.stands(now)
+                a.held = each
+
+    def last(self, now: float, accounts: Iterable[Account]) -> Iterator[Mark]:
+        """At a planned end, with nothing spent any more: what each account holds."""
+        for a in accounts:
+            if a.held is not None:
+                yield Mark(a.key, round(a.ceiling, 4), now, *part(a))  # all of it: nothing is spent below it
 
     def failed(self, marks: Iterable[Mark]) -> None:
         """Marks did not come to be on disk, or may yet: the last ones hold."""
-        for mark in marks:
-            self._out.discard(mark.key)
+        for each in marks:
+            self._out.discard(each.key)
+
+    def distrust(self, now: float, accounts: Iterable[Account]) -> None:
+        """What was kept turns out not to be the last word: all of it counts as spent as this life began."""
+        self._kept.clear()
+        self._before = self.born
+        for a in accounts:
+            if a.held is not None:
+                a.ceiling = min(a.ceiling, max(0.0, now - self.born) * part(a)[1])
 
     def end(self, accounts: Iterable[Account]) -> None:
         """Nothing is kept any more, nor believed of what was: accounts are spent as with no memory."""
@@ -157,9 +163,9 @@
         made: list[str] = []
         for table in (self._mine, self._kept):
             for key in list(table)[:most - len(made)]:
-                mark = table.pop(key)
-                if mark.stands(now) >= (1 - OPEN) * mark.top and key not in self._out and key not in self.due:
+                each = table.pop(key)
+                if each.stands(now) >= each.top and key not in self._out and key not in self.due:
                     made.append(key)
                 else:
-                    table[key] = mark  # looked at again once all others were
+                    table[key] = each  # looked at again once all others were
         return made
--- a/oliveloft/cli.py
+++ b/oliveloft/cli.py
@@ -61,7 +61,17 @@
 
 def _forward(words: argparse.Namespace) -> int:
     from oliveloft.gatekeeper.process import main
-    return main(words.number, words.config)
+    return main(words.number, words.config, words.fleet)
+
+
+def _member(words: argparse.Namespace) -> int:
+    from oliveloft.gatekeeper.process import main
+    return main(fleet=words.fleet)
+
+
+def _fleet_status(words: argparse.Namespace) -> int:
+    from oliveloft.fleet.status import main
+    return main(words.fleet, words.json)
 
 
 def _status(words: argparse.Namespace) -> int:
@@ -79,6 +89,11 @@
     return main(words.call, words.worker, words.at, words.within, words.json)
 
 
+def _fleet_file(verb: argparse.ArgumentParser) -> None:
+    verb.add_argument("--fleet", default="deploy/fleet.toml", metavar="FILE",
+                      help="the fleet's configuration (default deploy/fleet.toml)")
+
+
 def _config(verb: argparse.ArgumentParser) -> None:
     verb.add_argument("--config", default="deploy/planners.toml", metavar="FILE",
                       help="the planners' configuration (default deploy/planners.toml)")
@@ -107,7 +122,18 @@
     _config(forward)
     forward.add_argument("--number", type=whole(0), required=True,
                          help="its number among the forwarders, from 0, as X-Weight counts them")
+    forward.add_argument("--fleet", default="", metavar="FILE",
+                         help="the fleet's configuration: know the other gatekeepers, and remember")
     forward.set_defaults(run=_forward)
+    member = verbs.add_parser("member", help="a gatekeeper that knows the others of a file, and remembers")
+    _fleet_file(member)
+    member.set_defaults(run=_member)
+    fleet = verbs.add_parser("fleet", help="what members say of themselves and of each other")
+    about = fleet.add_subparsers(dest="what", required=True, metavar="WHAT")
+    state = about.add_parser("status", help="who is there, at which stage of a start and why, cuts, bans, memory")
+    _fleet_file(state)
+    state.add_argument("--json", action="store_true", help="one JSON object")
+    state.set_defaults(run=_fleet_status)
     planners = verbs.add_parser("planners", help="what planners say of themselves")
     asked = planners.add_subparsers(dest="what", required=True, metavar="WHAT")
     status = asked.add_parser("status", help="who owns what, epochs, grants out, age of reports")
--- /dev/null
+++ b/oliveloft/fleet/config.py
@@ -0,0 +1,93 @@
+"""`deploy/fleet.toml`, checked key by key: the gatekeepers that know each other, and what each remembers."""
+
+from __future__ import annotations
+
+import tomllib
+from collections.abc import Mapping
+from dataclasses import dataclass, fields
+from pathlib import Path
+from typing import Any, TypeVar
+
+from micagate.membership.members import Terms
+from micagate.membership.messages import LONGEST
+from micagate.recovery.stages import Limits
+from oliveloft.gatekeeper.config import ConfigError, address
+from oliveloft.planners.config import Table, Tls, access
+
+MOST_MEMBERS = 1000
+T = TypeVar("T", Terms, Limits)
+
+
+@dataclass(frozen=True, slots=True)
+class FleetConfig:
+    """A checked configuration; times are seconds. `listen` has members that listen elsewhere than where others call."""
+
+    members: dict[str, tuple[str, int]]
+    listen: dict[str, tuple[str, int]]
+    folder: str
+    times: Terms
+    limits: Limits
+    secret: bytes
+    tls: Tls | None
+
+
+def load(path: str) -> FleetConfig:
+    """The configuration in a file."""
+    try:
+        with open(path, "rb") as file:
+            raw = tomllib.load(file)
+    except (OSError, tomllib.TOMLDecodeError) as error:
+        raise ConfigError(f"{path}: {error}") from error
+    return parse(raw, Path(path).parent)
+
+
+def parse(raw: Mapping[str, Any], folder: Path) -> FleetConfig:
+    """A checked configuration; files are named from the folder that the configuration is in."""
+    top = Table("fleet.toml", raw)
+    members = _addresses("members", top.take("members", dict))
+    if not members:
+        raise ConfigError("members: none named")
+    if len(members) > MOST_MEMBERS:
+        raise ConfigError(f"members: {len(members)}, at most {MOST_MEMBERS}")
+    taken: dict[tuple[str, int], str] = {}
+    for name, where in members.items():
+        if where in taken:
+            raise ConfigError(f"members.{name}: {where[0]}:{where[1]} is {taken[where]}'s already")
+        taken[where] = name
+    listen = _addresses("listen", top.take("listen", dict, {}))
+    for name in listen:
+        if name not in members:
+            raise ConfigError(f"listen.{name}: is none of the members")
+    memory = Table("memory", top.take("memory", dict, {}))
+    kept = memory.take("folder", str, "")
+    memory.done()
+    times = _numbers(Table("times", top.take("times", dict, {})), Terms)
+    limits = _numbers(Table("recovery", top.take("recovery", dict, {})), Limits)
+    secret, tls = access(Table("access", top.take("access", dict, {})), folder)
+    top.done()
+    return FleetConfig(members, listen, str(folder / kept) if kept else "", times, limits, secret, tls)
+
+
+def _addresses(table: str, raw: Mapping[str, Any]) -> dict[str, tuple[str, int]]:
+    made = {}
+    for name, where in raw.items():
+        if not 0 < len(name) <= LONGEST:
+            raise ConfigError(f"{table}.{name[:64]}: a name has 1 to {LONGEST} characters")
+        try:
+            made[name] = address(where)
+        except ValueError as error:
+            raise ConfigError(f"{table}.{name}: {error}") from error
+    return made
+
+
+def _numbers(table: Table, kind: type[T]) -> T:
+    given: dict[str, Any] = {}
+    for each in fields(kind):
+        given[each.name] = table.take(each.name, int if each.name == "full" else (int, float), each.default)
+    table.done()
+    try:
+        return kind(**given)
+    except ValueError as error:
+        raise ConfigError(f"{table.name}.{error}") from error
+
+
--- a/oliveloft/gatekeeper/bridge.py
+++ b/oliveloft/gatekeeper/bridge.py
@@ -145,10 +145,13 @@
         self._workers.update(news.endpoints, news.whole)
         self._hand(i.WorkerList(tuple(e.entry for e in news.endpoints), whole=news.whole), "")
 
-    def maintain(self, worker: str, out: bool) -> bool:
-        """An operator takes a worker out or puts it back; whether anything is known of it."""
+    def maintain(self, worker: str, out: bool, since: float | None = None) -> bool:
+        """An operator takes a worker out or puts it back; whether anything is known of it.
+
+        With `since` it was so said elsewhere, then, and holds whether or not it is known here.
+        """
         known = False
-        for action in self._module.handle(self._loop.time(), i.Maintain(worker, out)):
+        for action in self._module.handle(self._loop.time(), i.Maintain(worker, out, since)):
             known = known or isinstance(action, i.Maintained) and action.known
         if known and out:
             self._workers.ban(worker)
--- a/oliveloft/gatekeeper/process.py
+++ b/oliveloft/gatekeeper/process.py
@@ -28,7 +28,9 @@
 from oliveloft.manage.server import MOST as CALLERS
 from oliveloft.manage.server import Management
 
-if TYPE_CHECKING:  # the platform's gatekeeper has no planners and loads nothing of them
+if TYPE_CHECKING:  # the platform's gatekeeper has no planners, knows no others, and loads nothing of them
+    from oliveloft.fleet.config import FleetConfig
+    from oliveloft.fleet.member import Member
     from oliveloft.planners.config import PlannersConfig
     from oliveloft.takeover.place import Place
 
@@ -52,7 +54,7 @@
     born: float
 
 
-async def serve(config: Config, planning: Planning | None = None) -> int:
+async def serve(config: Config, planning: Planning | None = None, fleet: FleetConfig | None = None) -> int:
     """Run until a signal; the exit status."""
     loop = asyncio.get_running_loop()
     room = max(16, config.sockets - RESERVE - (CALLERS if config.management is not None else 0))
@@ -74,7 +76,11 @@
     if shared:  # another process may take this one's place, or this one another's; else nothing of it is loaded
         from oliveloft.takeover.place import Place
         place = Place(loop, gateway, bridge, server, workers, presence, offset)
-    operations = Operations(loop, bridge, server, presence, place.passed_on if place is not None else None)
+    member: Member | None = None
+    if fleet is not None:
+        from oliveloft.fleet.member import Member
+        member = Member(loop, config.name, fleet, gateway, bridge, presence, offset, config.settings)
+    operations = Operations(loop, bridge, server, presence, place.passed_on if place is not None else None, member)
     management = None
     if config.management is not None:  # first: operators are answered whatever becomes of the rest
         management = Management(loop, operations.carry)
@@ -88,6 +94,8 @@
         bridge.news(news)
         if len(workers):
             server.able()
+        if member is not None:
+            member.listed()
 
     index = None
     followed = False  # this process follows another one, and knows what that knew
@@ -96,6 +104,11 @@
         if followed := await place.take(config.name, shared):
             offset = place.offset
             index = place.index if place.told_by == config.discovery else None
+    if member is not None:
+        try:
+            await member.remember()
+        except OSError as error:
+            raise ConfigError(f"members.{config.name}: {error.strerror or error}") from error
     if config.known is not None and not followed:
         try:
             known = News({"index": 0, **config.known}, offset)
@@ -112,7 +125,16 @@
     if planning is not None:
         from oliveloft.planners.link import Links
         links = Links(config.name, planning.index, planning.config, bridge, planning.born)
+        if member is not None:
+            member.follows(links)
         links.start()
+    loading = config.settings.gateways if config.settings.must_subscribe else 1
+    discovery = Discovery(loop, config.discovery, offset, tell, index, loading, config.settings.number or 0,
+                          config.seed)
+    if member is not None:
+        discovery.start()  # the list is one of the things that its start waits for
+        await member.opens(stop, lambda: len(workers) > 0)
+    if links is not None:
         waiting = {loop.create_task(links.ready()), loop.create_task(stop.wait())}
         await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
         for task in waiting:
@@ -121,10 +143,8 @@
         listener = await _listen(loop, config, server)
     except OSError as error:
         raise ConfigError(f"listen: {error.strerror or error}") from error
-    loading = config.settings.gateways if config.settings.must_subscribe else 1
-    discovery = Discovery(loop, config.discovery, offset, tell, index, loading, config.settings.number or 0,
-                          config.seed)
-    discovery.start()
+    if member is None:
+        discovery.start()
 
     server.accepts = True
     if place is not None and shared:
@@ -167,6 +187,8 @@
         counter.stop()
     if links is not None:
         links.stop()
+    if member is not None:
+        await member.stop()
     if management is not None:
         management.stop()
     return 0
@@ -192,8 +214,19 @@
     return Planning(index, planners, born)
 
 
-def main(index: int | None = None, planners: str = "") -> int:
-    """Read the configuration and serve; with the planners' file, as the forwarder of this number."""
+def _fleet(config: Config, file: str) -> FleetConfig:
+    from oliveloft.fleet.config import load as load_fleet
+    fleet = load_fleet(file)
+    if config.name not in fleet.members:
+        raise ConfigError(f"members: {config.name!r}, this gatekeeper's name, is none of those in {file}")
+    return fleet
+
+
+def main(index: int | None = None, planners: str = "", fleet: str = "") -> int:
+    """Read the configuration and serve.
+
+    With the planners' file as the forwarder of this number, with the fleet's as one of its members.
+    """
     born = time.monotonic()
     logging.basicConfig(level=logging.INFO, format="%(levelname)s %(message)s", stream=sys.stderr)
     # Guards against a reload that comes before it can be carried out: it waits, and neither ends the process
@@ -204,9 +237,10 @@
         planning = None
         if index is not None:
             planning = _planning(config, index, planners, born)
+        known = _fleet(config, fleet) if fleet else None
         _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
         resource.setrlimit(resource.RLIMIT_NOFILE, (config.sockets, hard))  # never more than was granted
-        return uvloop.run(serve(config, planning))
+        return uvloop.run(serve(config, planning, known))
     except ConfigError as error:
         print(f"oliveloft: {error}", file=sys.stderr)
         return 2
--- a/oliveloft/manage/operations.py
+++ b/oliveloft/manage/operations.py
@@ -5,12 +5,16 @@
 import asyncio
 import logging
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 from micagate.operating.presence import Presence
 from oliveloft.front.http import Server
 from oliveloft.gatekeeper.bridge import Bridge
 from oliveloft.manage import protocol
 
+if TYPE_CHECKING:
+    from oliveloft.fleet.member import Member
+
 log = logging.getLogger("oliveloft")
 
 
@@ -18,20 +22,38 @@
     """Carries out calls, each at once."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, bridge: Bridge, server: Server, presence: Presence,
-                 passed_on: Callable[[protocol.Call], None] | None = None) -> None:
+                 passed_on: Callable[[protocol.Call], None] | None = None, member: Member | None = None) -> None:
         self._loop, self._bridge, self._server, self._presence = loop, bridge, server, presence
+        self._member = member  # of a fleet, which remembers and tells the others
         self._passed_on = passed_on  # to the process that serves in this one's place, if one does
 
-    def carry(self, call: protocol.Call) -> tuple[bool, str]:
-        """Do what is asked, here and in the other process of an upgrade: whether it was done, and what to say."""
+    def carry(self, call: protocol.Call) -> tuple[bool, str] | asyncio.Future[tuple[bool, str]]:
+        """Do what is asked, here and in the other process of an upgrade: whether it was done, and what to say.
+
+        With a memory that is known once it is on disk.
+        """
         if self._passed_on is not None and call.word != protocol.HEALTH:
             self._passed_on(call)
-        return self.apply(call)
+        good, why = self.apply(call)
+        if self._member is None or not good or call.word == protocol.HEALTH:
+            return good, why
+        if call.word in (protocol.OFFLINE, protocol.ONLINE):
+            kept = self._member.said(call.worker, call.word == protocol.OFFLINE)
+        else:
+            kept = self._member.drained(call.word == protocol.LEAVE)
+        if not self._member.remembers():
+            return True, f"{why}; there is no memory, it ends with this process"
+        answer: asyncio.Future[tuple[bool, str]] = self._loop.create_future()
+        kept.add_done_callback(lambda done: answer.set_result(
+            (True, why) if done.result() else (False, f"{why}, but that is not on disk: it may end with this process")))
+        return answer
 
     def apply(self, call: protocol.Call) -> tuple[bool, str]:
         """Do what is asked in this process alone."""
         match call.word:
             case protocol.HEALTH:
+                if self._member is not None and (waits := self._member.health()):
+                    return False, waits
                 return self._server.health()
             case protocol.OFFLINE | protocol.ONLINE:
                 return self._maintain(call.worker, call.word == protocol.OFFLINE)
--- a/oliveloft/manage/server.py
+++ b/oliveloft/manage/server.py
@@ -11,7 +11,8 @@
 MOST = 40  # callers at once: a further one takes the place of the one that has been silent the longest
 SILENT = 5.0  # seconds after which a caller that has made no call is let go
 
-Carry = Callable[[protocol.Call], tuple[bool, str]]
+# What a call is answered, at once or later.
+Carry = Callable[[protocol.Call], tuple[bool, str] | asyncio.Future[tuple[bool, str]]]
 
 
 class Caller(asyncio.Protocol):
@@ -60,7 +61,12 @@
         except protocol.BadCall as error:
             self._say(False, str(error))
             return
-        self._say(*self._server.carry(call))
+        outcome = self._server.carry(call)
+        if isinstance(outcome, tuple):
+            self._say(*outcome)
+        else:
+            self._done = True
+            outcome.add_done_callback(lambda done: self._say(*done.result()))
 
     def _silent(self) -> None:
         if not self._done:
--- a/oliveloft/memory/log.py
+++ b/oliveloft/memory/log.py
@@ -1,10 +1,10 @@
-"""A log of records on a disk: appended in batches, read back whole, made anew when it has grown. It blocks: one thread's.
+"""A log of records on a disk: appended in batches, read back whole, made anew when it has grown. It blocks.
 
 A record is a kind, a key and a value (None: forgotten); the last of a kind and key holds. A batch is a frame: its
 length and number with a checksum of their own (XXH32), a checksum of the rest (XXH64, both seeded by the file's own
 salt, so that what an earlier file left on the same blocks is never taken for a frame), then msgpack. A file begins with
-whose it is. It is whole from the record `_WHOLE` on: a copy of all that holds stands before that, so that older files may
-go.
+whose it is. It is whole from the record `_WHOLE` on: a copy of all that holds stands before that, so that older files
+may go.
 
 What a break leaves is told apart: a frame that ends too early, or zeros, is a torn tail, of which nothing was promised;
 anything else that does not fit is damage, and what stood there may have been promised.
--- a/oliveloft/memory/memory.py
+++ b/oliveloft/memory/memory.py
@@ -1,10 +1,10 @@
 """What a gatekeeper remembers, written beside its work: nothing of it is on a request's way, nor a long step.
 
 Records are taken at once and written by a thread, those that came while it was busy together (group commit: DeWitt and
-others, 1984). `keep` tells when a record is on disk; what is only `put` is there within `FLUSH`. A disk that fails is tried
-again with a whole copy, since what a failed write or sync left behind is not known (fsync reports an error once: Rebello
-and others, "Can Applications Recover from fsync Failures?", 2020). Beyond `HOLD` the owner is told that nothing here will
-be believed, and the log is marked so, in place.
+others, 1984). `keep` tells when a record is on disk; what is only `put` is there within `FLUSH`. A disk that fails is
+tried again with a whole copy, since what a failed write or sync left behind is not known (fsync reports an error
+once: Rebello and others, "Can Applications Recover from fsync Failures?", 2020). Beyond `HOLD` the owner is told that
+nothing here will be believed, and the log is marked so, in place.
 """
 
 from __future__ import annotations
@@ -202,8 +202,8 @@
         """Nothing on disk is to be believed from here on: said to the owner first, then to the disk."""
         self.believed = False
         self.why = why
-        log.warning("memory: %s; nothing of it is believed from here on", why)
         self._lost(why)
+        log.warning("memory: %s; nothing of it is believed from here on", why)
         for future in self._waiting:
             if not future.done():
                 future.set_result(False)
--- a/oliveloft/planners/config.py
+++ b/oliveloft/planners/config.py
@@ -61,25 +61,25 @@
     paces: bool = False
 
 
-class _Table:
+class Table:
     """A table of the file, whose keys are taken one by one; what is left over is an error."""
 
     def __init__(self, name: str, raw: object) -> None:
         if not isinstance(raw, dict):
             raise ConfigError(f"{name}: must be a table")
-        self._name, self._raw, self._known = name, dict(raw), set[str]()
+        self.name, self._raw, self._known = name, dict(raw), set[str]()
 
     def take(self, key: str, kind: type | tuple[type, ...], default: Any = None) -> Any:
         """A key's value; without a default it is needed."""
         self._known.add(key)
         if key not in self._raw:
             if default is None:
-                raise ConfigError(f"{self._name}.{key}: missing")
+                raise ConfigError(f"{self.name}.{key}: missing")
             return default
         value = self._raw.pop(key)
         if not isinstance(value, kind) or (isinstance(value, bool) and kind is not bool):
             kinds = kind if isinstance(kind, tuple) else (kind,)
-            raise ConfigError(f"{self._name}.{key}: must be {' or '.join(k.__name__ for k in kinds)}, "
+            raise ConfigError(f"{self.name}.{key}: must be {' or '.join(k.__name__ for k in kinds)}, "
                               f"not {value!r}")
         return value
 
@@ -88,7 +88,7 @@
         for key in self._raw:
             near = difflib.get_close_matches(key, self._known, 1)
             meant = f" (is {near[0]} meant?)" if near else ""
-            raise ConfigError(f"{self._name}.{key}: unknown{meant}")
+            raise ConfigError(f"{self.name}.{key}: unknown{meant}")
 
 
 def load(path: str) -> PlannersConfig:
@@ -103,9 +103,9 @@
 
 def parse(raw: Mapping[str, Any], folder: Path) -> PlannersConfig:
     """A checked configuration; files are named from the folder that the configuration is in."""
-    top = _Table("planners.toml", raw)
-    terms = _terms(_Table("terms", top.take("terms", dict, {})))
-    forwarders = _Table("forwarders", top.take("forwarders", dict))
+    top = Table("planners.toml", raw)
+    terms = _terms(Table("terms", top.take("terms", dict, {})))
+    forwarders = Table("forwarders", top.take("forwarders", dict))
     count = forwarders.take("count", int)
     if not 1 <= count <= MOST_FORWARDERS:
         raise ConfigError(f"forwarders.count: must be from 1 to {MOST_FORWARDERS}, not {count}")
@@ -120,7 +120,7 @@
             raise ConfigError(f"planners.{name}: {error}") from error
     if not planners:
         raise ConfigError("planners: none named")
-    store = _Table("store", top.take("store", dict, {}))
+    store = Table("store", top.take("store", dict, {}))
     engine = store.take("engine", str, "embedded")
     if engine not in ("embedded", "etcd"):
         raise ConfigError(f"store.engine: must be embedded or etcd, not {engine!r}")
@@ -134,17 +134,17 @@
     if not 1 <= session <= 60:
         raise ConfigError(f"store.session: must be from 1 to 60 s, not {session!r}")
     store.done()
-    workers = _Table("workers", top.take("workers", dict, {}))
+    workers = Table("workers", top.take("workers", dict, {}))
     paces = workers.take("paces", bool, False)
     workers.done()
-    secret, tls = _access(_Table("access", top.take("access", dict, {})), folder)
+    secret, tls = access(Table("access", top.take("access", dict, {})), folder)
     top.done()
     return PlannersConfig(terms, count, planners, engine == "embedded",
                           tuple(e.rstrip("/") for e in endpoints), prefix, float(session), secret, tls,
                           paces)
 
 
-def _terms(table: _Table) -> Terms:
+def _terms(table: Table) -> Terms:
     given = {}
     for field in fields(Terms):
         whole = field.name in ("entries", "shards")
@@ -156,7 +156,7 @@
         raise ConfigError(f"terms.{error}") from error
 
 
-def _access(table: _Table, folder: Path) -> tuple[bytes, Tls | None]:
+def access(table: Table, folder: Path) -> tuple[bytes, Tls | None]:
     """The shared secret (empty: none) and the certificates."""
     file = table.take("secret_file", str, "")
     secret = b""
--- a/oliveloft/planners/link.py
+++ b/oliveloft/planners/link.py
@@ -6,6 +6,7 @@
 import logging
 import random
 import time
+from collections.abc import Callable
 from typing import Protocol
 
 from micagate import interface as i
@@ -72,13 +73,14 @@
                     wire.VERSION, "forwarder", links.name, links.index, links.config.forwarders, self.nonce,
                     wire.proof(links.config.secret, "peer", nonce, self.nonce, links.name),
                     tuple(links.holder.epochs().items()), wire.agreed(links.config.terms)))
-            case wire.Welcome(planner, proof):
+            case wire.Welcome(planner, proof, age):
                 if planner != self._link.name:
                     raise wire.WireError(f"it is {planner[:64]!r}")
                 secret = links.config.secret
                 if not wire.proved(secret, "planner", self.nonce, self._challenge, planner, proof):
                     raise wire.WireError("the secret is wrong")
                 self.open = True
+                links.planners[planner] = links.now() - age
                 self.framer.most = wire.MOST_FRAME
                 self._link.opened()
             case wire.Refused(why):
@@ -166,6 +168,11 @@
         self._demands = Demands(born)
         self._links = {planner: _Link(self, planner, where) for planner, where in config.planners.items()}
         self._owned: dict[str, set[int]] = {}
+        self.planners: dict[str, float] = {}  # when each began its present life, as far as it has told
+        # Asked before loans are promised up to a time: whether that is on record. A report waits where it is not.
+        self.records: Callable[[float], bool] = lambda until: True
+        # Asked whether what an earlier life lent is surely back: with a memory that may be known sooner.
+        self.over: Callable[[float], bool] = lambda now: False
         self._surveyed = 0.0
         self._timer: asyncio.TimerHandle | None = None
         self._soon = False
@@ -196,7 +203,7 @@
 
     async def ready(self) -> None:
         """Wait until what an earlier life of this forwarder may have lent is surely back."""
-        while not self.holder.ready(self.now()):
+        while not (self.holder.ready(self.now()) or self.over(self.now())):
             await asyncio.sleep(0.05)
 
     def take(self, planner: str, message: wire.Message) -> None:
@@ -243,6 +250,8 @@
                    if link.line is None or not link.line.open or link.line.blocked}
         for event in [*self.holder.moves(now), *self.holder.ended(now)]:
             self.holder.freed(event.session, self._decisions.shares(event))
+        if not self.records(now + self.config.terms.term * (1 + 3 * self.config.terms.drift)):
+            return  # what is reported renews loans: not beyond what a next life would know of
         for planner, report in self.holder.reports(now, blocked):
             line = self._links[planner].line
             if line is not None:
--- a/oliveloft/planners/planner.py
+++ b/oliveloft/planners/planner.py
@@ -72,7 +72,7 @@
         self._planner.opened(self, message)
         self.framer.most = wire.MOST_FRAME
         self.send(wire.Welcome(self._planner.name, wire.proof(
-            secret, "planner", message.nonce, self.nonce, self._planner.name)))
+            secret, "planner", message.nonce, self.nonce, self._planner.name), self._planner.age()))
         if message.role == "status":
             self.send(wire.Status(json.dumps(self._planner.status())))
         else:
@@ -112,6 +112,10 @@
         """This planner's clock: monotonic, and read anew at each look, also after a pause."""
         return time.monotonic()
 
+    def age(self) -> float:
+        """Seconds that this planner is up."""
+        return self.now() - self._began
+
     async def start(self) -> None:
         """Listen, and take a place in the store."""
         self._loop = asyncio.get_running_loop()
--- a/oliveloft/planners/status.py
+++ b/oliveloft/planners/status.py
@@ -9,15 +9,20 @@
 
 from oliveloft.gatekeeper.config import ConfigError
 from oliveloft.planners import wire
-from oliveloft.planners.config import PlannersConfig, load
+from oliveloft.planners.config import PlannersConfig, Tls, load
 
 PATIENCE = 2.0  # seconds for a planner to answer
 
 
 async def ask(name: str, config: PlannersConfig) -> dict[str, Any]:
     """One planner's state; WireError or OSError where it can't be had."""
-    host, port = config.planners[name]
-    context = config.tls.client() if config.tls else None
+    return await inquire("planner", config.planners[name], config.secret, config.tls, config.forwarders)
+
+
+async def inquire(side: str, where: tuple[str, int], secret: bytes, tls: Tls | None, count: int) -> dict[str, Any]:
+    """The state of whoever listens there, a `planner` or a `member`; WireError or OSError where it can't be had."""
+    host, port = where
+    context = tls.client() if tls else None
     async with asyncio.timeout(PATIENCE):
         reader, writer = await asyncio.open_connection(host, port, ssl=context)
         framer = wire.Framer()
@@ -29,11 +34,11 @@
                     match message:
                         case wire.Challenge(_, theirs):
                             challenge = theirs
-                            proof = wire.proof(config.secret, "peer", theirs, nonce, "status")
+                            proof = wire.proof(secret, "peer", theirs, nonce, "status")
                             writer.write(wire.encode(wire.Hello(
-                                wire.VERSION, "status", "status", 0, config.forwarders, nonce, proof)))
+                                wire.VERSION, "status", "status", 0, count, nonce, proof)))
                         case wire.Welcome(planner, proof):
-                            if not wire.proved(config.secret, "planner", nonce, challenge, planner, proof):
+                            if not wire.proved(secret, side, nonce, challenge, planner, proof):
                                 raise wire.WireError("the secret is wrong")
                         case wire.Status(state):
                             made: dict[str, Any] = json.loads(state)
--- a/oliveloft/planners/wire.py
+++ b/oliveloft/planners/wire.py
@@ -1,4 +1,4 @@
-"""The wire between forwarders and planners: frames of MessagePack, each checked by type, with an opening.
+"""The wire between forwarders, planners and members: frames of MessagePack, checked by type, with an opening.
 
 A frame is its length in four bytes, the most significant first, and one message. The planner begins with a
 `Challenge`, the other side proves that it knows the secret by an HMAC over both nonces (RFC 2104), and the
@@ -13,10 +13,11 @@
 
 import msgspec
 
+from micagate.membership.messages import Asks, Beat, Knows, Sums
 from micagate.planning.messages import Again, Report, Word
 from micagate.planning.terms import Terms
 
-VERSION = 2
+VERSION = 3
 MOST_FRAME = 256 * 1024
 OPENING_FRAME = 4096  # the same until a peer has proved itself
 
@@ -33,7 +34,11 @@
 
 
 class Hello(msgspec.Struct, frozen=True, array_like=True, tag=17):
-    """The other side's first message; `role` is forwarder or status."""
+    """The other side's first message; `role` is forwarder, member or status.
+
+    `forwarders` is how many there are of its kind, `name` what it goes by. A member's `epochs` is the number of its
+    life.
+    """
 
     version: int
     role: str
@@ -51,6 +56,7 @@
 
     planner: str
     proof: bytes
+    age: float = 0.0  # seconds that it is up: what was lent to one before that is known to it no more
 
 
 class Owned(msgspec.Struct, frozen=True, array_like=True, tag=19):
@@ -77,7 +83,8 @@
     state: str
 
 
-Message = Challenge | Hello | Welcome | Owned | Pulse | Refused | Status | Report | Word | Again
+Message = (Challenge | Hello | Welcome | Owned | Pulse | Refused | Status | Report | Word | Again
+           | Beat | Sums | Asks | Knows)
 
 _decoder: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
 _encoder = msgspec.msgpack.Encoder()
--- /dev/null
+++ b/rig/engines.py
@@ -0,0 +1,100 @@
+"""Ways to keep records on disk, measured on one machine: a log of one's own, SQLite, LMDB.
+
+Each appends batches of records, every batch on disk before the next, then is read back whole. What a power cut leaves
+of what was not synced is tried on the log alone (`rig/disks.py`): the others' files can't be put on a disk of ours.
+"""
+
+from __future__ import annotations
+
+import os
+import sqlite3
+import statistics
+import tempfile
+import time
+from collections.abc import Callable
+from typing import Any
+
+import lmdb
+import msgspec
+
+from oliveloft.memory.files import PlainDisk
+from oliveloft.memory.log import Log
+
+BATCHES, EACH, CUSTOMERS = 100, 20, 5000
+
+Batch = list[tuple[str, str, Any]]
+
+
+def _batches() -> list[Batch]:
+    return [[("mark", f"c/team/{(n * EACH + k) % CUSTOMERS:016x}", [float(n), 2.0, 3.0, 4.0, 5]) for k in range(EACH)]
+            for n in range(BATCHES)]
+
+
+def _log(folder: str) -> tuple[Callable[[Batch], None], Callable[[], int]]:
+    log = Log(PlainDisk(folder), "g")
+    log.find()
+    log.begin([])
+
+    def append(batch: Batch) -> None:
+        log.append(batch)
+        log.sync()
+
+    def read() -> int:
+        return len(Log(PlainDisk(folder), "g").find().records)
+    return append, read
+
+
+def _sqlite(folder: str) -> tuple[Callable[[Batch], None], Callable[[], int]]:
+    path = os.path.join(folder, "kept.db")
+    db = sqlite3.connect(path, isolation_level=None)
+    db.execute("PRAGMA journal_mode=WAL")
+    db.execute("PRAGMA synchronous=FULL")
+    db.execute("CREATE TABLE kept (kind TEXT, key TEXT, value BLOB, PRIMARY KEY (kind, key)) WITHOUT ROWID")
+
+    def append(batch: Batch) -> None:
+        db.execute("BEGIN")
+        db.executemany("INSERT OR REPLACE INTO kept VALUES (?, ?, ?)",
+                       [(kind, key, msgspec.msgpack.encode(value)) for kind, key, value in batch])
+        db.execute("COMMIT")
+
+    def read() -> int:
+        again = sqlite3.connect(path)
+        rows = {(kind, key): msgspec.msgpack.decode(value) for kind, key, value in again.execute("SELECT * FROM kept")}
+        again.close()
+        return len(rows)
+    return append, read
+
+
+def _lmdb(folder: str) -> tuple[Callable[[Batch], None], Callable[[], int]]:
+    store = lmdb.open(folder, map_size=1 << 28)
+
+    def append(batch: Batch) -> None:
+        with store.begin(write=True) as txn:
+            for kind, key, value in batch:
+                txn.put(f"{kind} {key}".encode(), msgspec.msgpack.encode(value))
+
+    def read() -> int:
+        with store.begin() as txn:
+            return len({bytes(key): msgspec.msgpack.decode(bytes(value)) for key, value in txn.cursor()})
+    return append, read
+
+
+def compare() -> dict[str, dict[str, float]]:
+    """By engine: milliseconds of a batch on disk (median, and of a hundred the worst), of reading all back, and kB."""
+    told = {}
+    for name, engine in (("log", _log), ("sqlite", _sqlite), ("lmdb", _lmdb)):
+        with tempfile.TemporaryDirectory() as folder:
+            append, read = engine(folder)
+            took = []
+            for batch in _batches():
+                began = time.perf_counter()
+                append(batch)
+                took.append(time.perf_counter() - began)
+            began = time.perf_counter()
+            count = read()
+            reading = time.perf_counter() - began
+            assert count == min(CUSTOMERS, BATCHES * EACH)
+            size = sum(os.stat(os.path.join(folder, file)).st_blocks * 512 for file in os.listdir(folder))
+            told[name] = {"batch_ms": round(1000 * statistics.median(took), 3), "worst_ms": round(1000 * max(took), 2),
+                          "read_ms": round(1000 * reading, 2), "kB": round(size / 1024)}
+    return told
--- a/rig/installation.py
+++ b/rig/installation.py
@@ -14,7 +14,7 @@
 import tempfile
 from collections.abc import Sequence
 from pathlib import Path
-from typing import Any
+from typing import Any, Self
 
 from micagate.planning.terms import Terms
 from oliveloft.planners.config import PlannersConfig, load
@@ -78,7 +78,7 @@
         self._folder = tempfile.TemporaryDirectory()
         self.secret = "a secret of the installation"
 
-    async def __aenter__(self) -> Installation:
+    async def __aenter__(self) -> Self:
         """Start all of it."""
         try:
             await self._start()
@@ -147,7 +147,7 @@
                     ports[name] = self.links[number, name].port
             file = self.planners_file(ports, self.store.endpoint, f"forwarder-{number}")
             words = ("forward", "--number", str(number), "--config", file)
-        gate = await spawn(made, *words)
+        gate = await self._spawn(number, made, words)
         await self._listening(gate)
         while await gate.health() != 200:
             await asyncio.sleep(0.02)
@@ -156,6 +156,10 @@
         self.forwarders[number] = gate
         return gate
 
+    async def _spawn(self, number: int, made: dict[str, Any], words: tuple[str, ...]) -> Gatekeeper:
+        """Start the program as this forwarder."""
+        return await spawn(made, *words)
+
     @staticmethod
     async def _listening(gate: Gatekeeper) -> None:
         told, ended = asyncio.create_task(gate.listening()), asyncio.create_task(gate.process.wait())
--- /dev/null
+++ b/rig/members.py
@@ -0,0 +1,138 @@
+"""An installation whose gatekeepers know each other and remember: processes, their disks, and the links between them.
+
+With `linked`, each way from one member to another is a link of its own that can be cut, either way, slowed or reset.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import shutil
+import signal
+from pathlib import Path
+from typing import Any
+
+from oliveloft.fleet.config import FleetConfig, load
+from oliveloft.fleet.status import States, gather
+from rig.disks import turn
+from rig.faults import FaultProxy
+from rig.installation import Installation, free_port
+from rig.scripted import Gatekeeper, spawn
+
+
+class MemberSite(Installation):
+    """Gatekeepers f0, f1, ... as members; `memory` False: they know each other and remember nothing."""
+
+    def __init__(self, forwarders: int = 3, memory: bool = True, linked: bool = False, fleet: bool = True,
+                 times: dict[str, float] | None = None, recovery: dict[str, float] | None = None, **how: Any) -> None:
+        super().__init__(forwarders, **how)
+        self.memory, self.linked, self.fleet = memory, linked, fleet
+        self.times, self.recovery = times or {}, recovery or {}
+        self.peer_ports = [free_port() for _ in range(forwarders)]
+        self.ways: dict[tuple[int, int], FaultProxy] = {}  # from one member to another
+        self.words: dict[int, tuple[str, ...]] = {}  # of a member that is not started as the others are
+        self._example["management"] = "127.0.0.1:0"
+
+    def folder(self, number: int) -> Path:
+        """A member's disk."""
+        return Path(self._folder.name) / f"disk-{number}"
+
+    def knobs(self, number: int, **knobs: object) -> None:
+        """Turn the knobs of a member's disk."""
+        turn(str(Path(self._folder.name) / f"knobs-{number}"), **knobs)
+
+    async def fleet_file(self, number: int, name: str = "") -> str:
+        """Write a member's file; its path."""
+        members = {}
+        for other, port in enumerate(self.peer_ports):
+            if self.linked and other != number:
+                if (number, other) not in self.ways:
+                    self.ways[number, other] = await FaultProxy(("127.0.0.1", port)).start()
+                port = self.ways[number, other].port
+            members[f"f{other}"] = f"127.0.0.1:{port}"
+        tables: dict[str, dict[str, Any]] = {
+            "members": members, "listen": {f"f{number}": f"127.0.0.1:{self.peer_ports[number]}"},
+            "memory": {"folder": str(self.folder(number)) if self.memory else ""},
+            "access": {"open": True}, "times": self.times, "recovery": self.recovery}
+        path = Path(self._folder.name) / f"fleet-{name or number}.toml"
+        path.write_text("\n".join(f"[{table}]\n" + "\n".join(f"{key} = {json.dumps(value)}" for key, value in
+                                                            entries.items()) for table, entries in tables.items()))
+        return str(path)
+
+    async def _spawn(self, number: int, made: dict[str, Any], words: tuple[str, ...]) -> Gatekeeper:
+        if not self.fleet:
+            return await spawn(made, *words)
+        file = await self.fleet_file(number)
+        verb = (*words, "--fleet", file) if words else ("member", "--fleet", file)
+        return await spawn(made, str(Path(self._folder.name) / f"knobs-{number}"), *verb, module="rig.member")
+
+    def config(self) -> Any:
+        """The planners' configuration, where there are planners."""
+        return super().config()
+
+    async def fleet_config(self) -> FleetConfig:
+        """The fleet's, with no link between."""
+        linked, self.linked = self.linked, False
+        try:
+            return load(await self.fleet_file(0, "plain"))
+        finally:
+            self.linked = linked
+
+    async def states(self) -> States:
+        """What each member says of itself and the others."""
+        return await gather(await self.fleet_config())
+
+    def cut(self, one: int, other: int, there: bool = True, back: bool = True) -> None:
+        """Nothing passes from one member to the other, and back; either way may be left open."""
+        for source, target, up, down in ((one, other, there, back), (other, one, back, there)):
+            if (source, target) in self.ways:
+                self.ways[source, target].silence(up, down)
+
+    def heal(self) -> None:
+        """All links carry again."""
+        for way in self.ways.values():
+            way.heal()
+
+    def kill(self, *numbers: int) -> None:
+        """Members lose power, all at the same moment."""
+        for number in numbers or range(self.count):
+            if self.forwarders[number].process.returncode is None:
+                self.forwarders[number].process.kill()
+
+    async def dead(self, *numbers: int) -> None:
+        """Wait until they are."""
+        await asyncio.gather(*(self.forwarders[number].process.wait() for number in numbers or range(self.count)))
+
+    def stop(self, number: int) -> None:
+        """Stall a member."""
+        self.forwarders[number].process.send_signal(signal.SIGSTOP)
+
+    def go_on(self, number: int) -> None:
+        """Let it go on."""
+        self.forwarders[number].process.send_signal(signal.SIGCONT)
+
+    def copy_disk(self, source: int, target: int) -> None:
+        """A member's disk is replaced by a copy of another's."""
+        shutil.rmtree(self.folder(target), ignore_errors=True)
+        shutil.copytree(self.folder(source), self.folder(target))
+
+    async def agree(self, up: int | None = None, within: float = 5.0) -> bool:
+        """Wait until all that answer have the same view, with so many there; whether they come to."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + within
+        while loop.time() < end:
+            states = [state for state in (await self.states()).values() if "error" not in state]
+            there = {sum(each["status"] == "alive" for each in state["members"].values()) for state in states}
+            one = len({state["digest"] for state in states}) == 1
+            if states and one and there == {len(states) if up is None else up}:
+                return True
+            await asyncio.sleep(0.05)
+        return False
+
+    async def __aexit__(self, *error: object) -> None:
+        for gate in self.forwarders:  # one that is stalled could not even be waited for
+            if gate.process.returncode is None:
+                gate.process.send_signal(signal.SIGCONT)
+        await super().__aexit__(*error)
+        for way in self.ways.values():
+            await way.stop()
--- /dev/null
+++ b/tests/fleet/conftest.py
@@ -0,0 +1,11 @@
+"""Tests with whole fleets of processes run one after another: two at once would measure each other."""
+
+from pathlib import Path
+
+import pytest
+
+
+def pytest_collection_modifyitems(items):
+    for item in items:
+        if Path(__file__).parent in item.path.parents and "process" in item.path.name:
+            item.add_marker(pytest.mark.xdist_group("fleets"))
--- /dev/null
+++ b/tests/fleet/test_processes.py
@@ -0,0 +1,489 @@
+"""Several processes of the program as members, with every fault between them that they are made for."""
+
+import asyncio
+import copy
+import itertools
+import json
+import os
+import shutil
+import signal
+import time
+from pathlib import Path
+
+import pytest
+
+from oliveloft.memory.files import PlainDisk
+from oliveloft.memory.log import NAME, Log
+from rig.capacity import Capacity
+from rig.installation import free_port
+from rig.members import MemberSite
+from rig.modelled import overspent
+from rig.power import Loss, everywhere
+from rig.scripted import Client, spawn, until
+from rig.traffic import Traffic
+
+PLAN = {"Name": "team", "Refill": 40, "MostAtOnce": 40, "HardRate": 24, "CapDepth": 24, "CapSlack": 3}
+SLACK = 3 + 24 * 0.15  # the plan's, and what its rate gives in 150 ms, as the rule on sockets has it
+LIMIT = 80.0
+FAST = {"peers": 0.4, "gather": 0.3, "room": 0.2}
+
+
+def run(scenario):
+    asyncio.run(asyncio.wait_for(scenario, LIMIT))
+
+
+def site(count=3, **how):
+    return MemberSite(count, **{"plans": [PLAN], "recovery": FAST, **how})
+
+
+def edge(fleet, rate=40.0, customers=1, seed=1, klass="write", timeout=1.0):
+    """Clients at the edge of the ceiling, and beyond, through all gatekeepers in turn."""
+    fleet.record.keep_units = True
+    return Traffic(fleet.ports, everywhere(customers, rate, "team", fleet.count, klass), fleet.plans, seed,
+                   timeout=timeout, aim=0.5)
+
+
+def kept(fleet):
+    """Hold the rules: ceilings over all gatekeepers and all their lives, no effect twice."""
+    assert fleet.record.units and max(fleet.record.begun.values()) == 1
+    for units in fleet.record.units.values():
+        assert overspent(units, PLAN["HardRate"], PLAN["CapDepth"]) <= SLACK
+    for gate in fleet.forwarders:
+        assert not any("Traceback" in line for line in gate.log), gate.log
+
+
+async def back(fleet, traffic=None, numbers=None, wait=0.0):
+    """Start members again, and send clients there."""
+    async def one(number):
+        await asyncio.sleep(wait * number)
+        gate = await fleet.forward(number)
+        if traffic is not None:
+            traffic.ports[number] = gate.port
+    await asyncio.gather(*(one(number) for number in numbers or range(fleet.count)))
+
+
+def logged(gate, text):
+    return [line for line in gate.log if text in line]
+
+
+def test_members_find_each_other_and_say_so():
+    async def scenario():
+        async with site() as fleet:
+            assert await fleet.agree(3)
+            states = await fleet.states()
+            assert all(state["open"] and state["up"] == 3 for state in states.values())
+            assert len({state["boot"] for state in states.values()}) == 3
+            assert (await fleet.forwarders[0].call("HEALTH")).startswith("ok serving")
+    run(scenario())
+
+
+def test_all_lose_power_under_load_at_the_edge_and_come_back_in_order_and_no_ceiling_is_passed():
+    async def scenario():
+        async with site() as fleet:
+            load = edge(fleet)
+            playing = asyncio.create_task(load.run(9.0))
+            await asyncio.sleep(4.0)
+            loss = Loss(fleet, load)
+            await loss.strike(0.3, workers=False)
+            report = await playing
+            kept(fleet)
+            assert sum(report.series[second]["served"] for second in range(7, 9)) > 10, report.series
+            for gate in fleet.forwarders:
+                assert logged(gate, "ended killed") and logged(gate, "memory own") and logged(gate, "fleet: open after")
+    run(scenario())
+
+
+@pytest.mark.parametrize("order", list(itertools.permutations(("workers", "gatekeepers", "discovery"))))
+def test_they_come_back_in_every_order_one_kind_late(order):
+    """`order`: the first at once, the second soon, the last late."""
+    async def scenario():
+        async with site(2, workers=2, capacity=Capacity(cores=2, queue=24, cold_from=0.25, ramp=2.0)) as fleet:
+            load = edge(fleet, rate=12.0, klass="read")
+            await load.run(1.5, settle=False)
+            fleet.kill()
+            for worker in fleet.workers:
+                worker.stop()
+            fleet.discovery.silent = True
+            await fleet.dead()
+
+            async def kind(name, wait):
+                await asyncio.sleep(wait)
+                if name == "workers":
+                    for worker in fleet.workers:
+                        worker.cold = True
+                        await worker.start()
+                    fleet.discovery.entries = [worker.entry() for worker in fleet.workers]
+                    fleet.discovery.change(*fleet.discovery.entries)
+                elif name == "discovery":
+                    fleet.discovery.silent = False
+                else:
+                    await asyncio.gather(*(started(number) for number in range(2)))
+
+            async def started(number):
+                # Discovery may come last: a gatekeeper listens without, once its stage is over.
+                gate = await MemberSite._spawn(fleet, number, made(fleet, number), ())
+                fleet.forwarders[number] = gate
+                await gate.listening()
+                load.ports[number] = gate.port
+            await asyncio.gather(*(kind(name, wait) for name, wait in zip(order, (0.0, 0.3, 2.5), strict=True)))
+            await asyncio.sleep(2.5)
+            report = await load.run(2.0)
+            assert report.ends["served"] and sum(
+                report.series[second]["served"] for second in sorted(report.series)[-2:]) > 8, report.series
+            assert max(fleet.record.begun.values()) == 1
+    run(scenario())
+
+
+def made(fleet, number):
+    config = copy.deepcopy(fleet._example)
+    config.update(name=f"f{number}", listen="127.0.0.1:0", discovery=f"127.0.0.1:{fleet.discovery.port}",
+                  seed=f"{number + 7:x}")
+    return config
+
+
+@pytest.mark.parametrize("stage", ["memory", "peers", "list", "room", "gather"])
+def test_power_goes_again_at_each_stage_three_times_in_a_row(stage):
+    """A stage is held by what it waits for; the kill comes while `fleet status` says so."""
+    async def scenario():
+        async with site(3, linked=True, recovery={**FAST, stage: 3.0} if stage != "memory" else FAST) as fleet:
+            assert (await fleet.forwarders[0].call("OFFLINE worker-1")).startswith("ok")
+            load = edge(fleet)
+            await load.run(2.0, settle=False)
+            lives = set()
+            for _ in range(3):
+                fleet.kill()
+                await fleet.dead()
+                if stage == "memory":
+                    fleet.knobs(0, sync_takes=0.5)
+                if stage == "list":
+                    fleet.discovery.silent = True
+                starting = []
+                for number in range(3 if stage != "peers" else 2):  # one that never comes holds up the peers' stage
+                    gate = await MemberSite._spawn(fleet, number, made(fleet, number), ())
+                    fleet.forwarders[number] = gate
+                    starting.append(gate)
+                if stage in ("memory", "list"):
+                    await until(lambda starting=starting: logged(starting[1], "fleet: f1, life"))
+                else:
+                    await until(lambda starting=starting: logged(starting[0], "fleet: f0, life"))
+                await asyncio.sleep(0.1)
+                lives |= {line.split("life ")[1].split(",")[0] for gate in starting for line in
+                          logged(gate, ", life ")}
+            fleet.kill()
+            await fleet.dead()
+            fleet.knobs(0)
+            fleet.discovery.silent = False
+            await back(fleet, load)
+            await load.run(2.0)
+            kept(fleet)
+            assert len(lives) >= 6  # no number of a life came twice
+            answers = [await gate.call("ONLINE worker-1") for gate in fleet.forwarders]
+            assert all(answer.startswith("ok") for answer in answers), answers
+    run(scenario())
+
+
+def test_half_lose_power_half_stay_and_the_halves_are_cut_while_the_one_comes_back():
+    async def scenario():
+        async with site(4, linked=True) as fleet:
+            assert await fleet.agree(4)
+            load = edge(fleet)
+            playing = asyncio.create_task(load.run(11.0))
+            await asyncio.sleep(2.0)
+            fleet.kill(2, 3)
+            await fleet.dead(2, 3)
+            for one in (0, 1):
+                for other in (2, 3):
+                    fleet.cut(one, other)
+            await back(fleet, load, (2, 3))
+            states = await fleet.states()
+            assert states["f2"]["open"] and states["f2"]["disk"] == "own"
+            assert (await fleet.forwarders[2].call("OFFLINE worker-2")).startswith("ok")
+            assert "worker-2" not in (await fleet.states())["f0"]["bans"]
+            fleet.heal()
+            assert await fleet.agree(4, within=10.0)
+            assert (await fleet.states())["f0"]["bans"]["worker-2"]["by"] == "f2"
+            await playing
+            kept(fleet)
+    run(scenario())
+
+
+def test_a_ban_outlives_the_loss_of_all_and_holds_at_each_and_a_later_call_back_wins_over_an_old_disk(tmp_path):
+    async def scenario():
+        async with site(3) as fleet:
+            assert await fleet.agree(3)
+            assert (await fleet.forwarders[0].call("OFFLINE worker-1")).startswith("ok")
+            await until_bans(fleet, {"f0": True, "f1": True, "f2": True})
+            fleet.kill()
+            await fleet.dead()
+            await back(fleet)
+            await until_bans(fleet, {"f0": True, "f1": True, "f2": True})
+            began = fleet.workers[0].load.served
+            load = edge(fleet, rate=20.0)
+            await load.run(1.5)
+            assert fleet.workers[0].load.served == began
+            # f1 keeps its disk of now; the ban is ended meanwhile; then f1 comes back with that disk of long ago.
+            fleet.kill(1)
+            await fleet.dead(1)
+            assert (await fleet.forwarders[2].call("ONLINE worker-1")).startswith("ok")
+            await back(fleet, None, (1,))
+            await until_bans(fleet, {"f0": False, "f1": False, "f2": False})
+            load = edge(fleet, rate=20.0, seed=2)
+            await load.run(1.5)
+            assert fleet.workers[0].load.served > began
+            kept(fleet)
+    run(scenario())
+
+
+async def until_bans(fleet, expected, worker="worker-1"):
+    async def said():
+        states = await fleet.states()
+        return {name: state.get("bans", {}).get(worker, {}).get("out") for name, state in states.items()}
+    end = time.monotonic() + 5
+    while time.monotonic() < end:
+        if await said() == expected:
+            return
+        await asyncio.sleep(0.05)
+    raise AssertionError(await said())
+
+
+def test_a_leave_in_force_outlives_a_kill_and_a_join_ends_it():
+    async def scenario():
+        async with site(2) as fleet:
+            assert (await fleet.forwarders[0].call("LEAVE")).startswith("ok")
+            fleet.kill(0)
+            await fleet.dead(0)
+            gate = await MemberSite._spawn(fleet, 0, made(fleet, 0), ())
+            fleet.forwarders[0] = gate
+            await gate.listening()
+            assert await gate.call("HEALTH") == "fail sending clients away"
+            assert (await gate.call("JOIN")).startswith("ok")
+            assert (await gate.call("HEALTH")).startswith("ok")
+    run(scenario())
+
+
+def test_disks_of_last_month_of_the_neighbour_none_and_full():
+    async def scenario():
+        async with site(5) as fleet:
+            load = edge(fleet)
+            await load.run(1.0, settle=False)
+            fleet.kill(0)
+            await fleet.dead(0)
+            shutil.copytree(fleet.folder(0), str(fleet.folder(0)) + "-old")
+            await back(fleet, load, (0,))
+            await load.run(2.0, settle=False)
+            fleet.kill()
+            await fleet.dead()
+            shutil.rmtree(fleet.folder(0))
+            shutil.move(str(fleet.folder(0)) + "-old", fleet.folder(0))  # of long ago
+            fleet.copy_disk(4, 1)  # its neighbour's
+            shutil.rmtree(fleet.folder(2))  # none
+            fleet.knobs(3, room=0)  # full
+            await back(fleet, load)
+            states = await fleet.states()
+            disks = {name: state["disk"] for name, state in states.items()}
+            assert (disks["f0"], disks["f1"], disks["f2"], disks["f4"]) == ("old", "other", "none", "own"), disks
+            assert not states["f3"]["memory"]["believed"] and "full" in states["f3"]["memory"]["why"]
+            assert all(state["open"] for state in states.values())
+            assert any(name.endswith(".of-f4") for name in os.listdir(fleet.folder(1)))  # set aside, not lost
+            await load.run(3.0)
+            kept(fleet)
+    run(scenario())
+
+
+def test_a_spoilt_disk_is_named_and_no_ceiling_of_it_believed():
+    async def scenario():
+        async with site(2) as fleet:
+            load = edge(fleet)
+            await load.run(2.0, settle=False)
+            fleet.kill(0)
+            await fleet.dead(0)
+            (name,) = [name for name in os.listdir(fleet.folder(0)) if NAME.fullmatch(name)]
+            path = fleet.folder(0) / name
+            data = bytearray(path.read_bytes())
+            data[len(data) // 2] ^= 0x10
+            path.write_bytes(data)
+            await back(fleet, load, (0,))
+            assert (await fleet.states())["f0"]["disk"] == "spoilt" and logged(fleet.forwarders[0], "damaged")
+            await load.run(2.0)
+            kept(fleet)
+    run(scenario())
+
+
+def test_a_disk_that_hangs_in_service_is_given_up_and_the_next_life_does_not_believe_it():
+    async def scenario():
+        async with site(2) as fleet:
+            load = edge(fleet)
+            playing = asyncio.create_task(load.run(9.0))
+            await asyncio.sleep(1.0)
+            fleet.knobs(0, sync_takes=6.0)
+            answer = await fleet.forwarders[0].call("OFFLINE worker-1")
+            assert answer.startswith("fail") and "not on disk" in answer
+            await until(lambda: logged(fleet.forwarders[0], "nothing of it is believed"))
+            fleet.kill(0)
+            await fleet.dead(0)
+            fleet.knobs(0)
+            await back(fleet, load, (0,))
+            assert (await fleet.states())["f0"]["disk"] in ("void", "old")
+            assert (await fleet.states())["f0"]["bans"]["worker-1"]["out"]  # the other one knew
+            await playing
+            kept(fleet)
+    run(scenario())
+
+
+@pytest.mark.parametrize("moment", [0.0, 0.15, 0.3, 0.5, 0.8])
+def test_one_is_stopped_for_three_seconds_in_the_middle_of_a_start_and_goes_on(moment):
+    async def scenario():
+        async with site(3) as fleet:
+            load = edge(fleet)
+            await load.run(1.5, settle=False)
+            fleet.kill()
+            await fleet.dead()
+            gates = []
+            for number in range(3):
+                gates.append(await MemberSite._spawn(fleet, number, made(fleet, number), ()))
+                fleet.forwarders[number] = gates[-1]
+            await asyncio.sleep(moment)
+            began = time.monotonic()
+            fleet.stop(1)
+            for number in (0, 2):  # the others wait for it no longer than stated
+                await gates[number].listening()
+                load.ports[number] = gates[number].port
+            assert time.monotonic() - began < 2.9
+            await asyncio.sleep(max(0.0, 3.0 - (time.monotonic() - began)))
+            fleet.go_on(1)
+            await gates[1].listening()
+            load.ports[1] = gates[1].port
+            assert await fleet.agree(3)
+            await load.run(2.0)
+            kept(fleet)
+    run(scenario())
+
+
+@pytest.mark.parametrize(("there", "back_"), [(True, False), (False, True)])
+def test_a_link_that_passes_one_way_is_named_and_nobody_is_taken_for_dead(there, back_):
+    async def scenario():
+        async with site(3, linked=True) as fleet:
+            assert await fleet.agree(3)
+            fleet.cut(0, 1, there=there, back=back_)
+            await asyncio.sleep(4.0)
+            states = await fleet.states()
+            assert all(each["status"] == "alive" for state in states.values() for each in state["members"].values())
+            named = {(name, peer) for name, state in states.items() for peer in state["cut"]}
+            assert named and named <= {("f0", "f1"), ("f1", "f0")}, named
+            fleet.heal()
+            assert await fleet.agree(3)
+    run(scenario())
+
+
+def test_two_processes_under_one_name_the_later_one_serves_and_the_earlier_sends_its_clients_away():
+    async def scenario():
+        async with site(3) as fleet:
+            assert await fleet.agree(3)
+            first = fleet.forwarders[0]
+            # The same name elsewhere: another port for peers, and another disk.
+            port, fleet.peer_ports[0] = fleet.peer_ports[0], free_port()
+            file = await fleet.fleet_file(0, "twin")
+            text = Path(file).read_text().replace(f'"{fleet.folder(0)}"', json.dumps(str(fleet.folder(0)) + "-twin"))
+            text = text.replace("[members]\n" + f'f0 = "127.0.0.1:{fleet.peer_ports[0]}"',
+                                "[members]\n" + f'f0 = "127.0.0.1:{port}"')
+            Path(file).write_text(text)
+            twin = await spawn(made(fleet, 0), str(fleet.folder(0)) + "-knobs", "member", "--fleet", file,
+                               module="rig.member")
+            fleet.forwarders.append(twin)
+            await twin.listening()
+            await until(lambda: logged(first, "another process goes by the name of f0"))
+            assert await first.call("HEALTH") == "fail sending clients away"
+            assert (await twin.call("HEALTH")).startswith("ok")
+            fleet.peer_ports[0] = port
+            fleet.forwarders.pop()
+            twin.process.kill()
+            await twin.process.wait()
+    run(scenario())
+
+
+def test_a_filing_in_hand_at_the_loss_runs_once_or_never_and_clients_that_come_twice_as_often_are_borne():
+    async def scenario():
+        slow = Capacity(cores=2, queue=24, cold_from=0.25, ramp=2.0)
+        async with site(3, workers=3, capacity=slow, service=0.05) as fleet:
+            load = edge(fleet, rate=15.0, klass="write")
+            double = edge(fleet, rate=15.0, klass="write", seed=9)
+            playing = asyncio.create_task(load.run(8.0))
+            await asyncio.sleep(2.0)
+            loss = Loss(fleet, load)
+            await loss.strike(0.2)
+            double.ports[:] = load.ports
+            await double.run(3.0)
+            await playing
+            kept(fleet)
+            assert load.filings and max(fleet.record.begun[name] for name in load.filings) <= 1
+    run(scenario())
+
+
+def test_a_planned_end_is_the_last_word_on_disk_and_loses_nothing():
+    async def scenario():
+        async with site(2) as fleet:
+            load = edge(fleet, rate=10.0)
+            await load.run(2.5)
+            fleet.forwarders[0].process.send_signal(signal.SIGTERM)
+            await fleet.dead(0)
+            found = Log(PlainDisk(str(fleet.folder(0))), "f0").find()
+            assert found.records[("life", "")]["end"] == "asked" and any(kind == "mark" for kind, _ in found.records)
+            await back(fleet, load, (0,))
+            assert logged(fleet.forwarders[0], "ended asked")
+    run(scenario())
+
+
+def test_without_a_memory_members_know_each_other_and_calls_say_that_they_end_with_the_process():
+    async def scenario():
+        async with site(2, memory=False) as fleet:
+            assert await fleet.agree(2)
+            answer = await fleet.forwarders[0].call("OFFLINE worker-1")
+            assert answer.startswith("ok") and "no memory" in answer
+            fleet.kill(0)
+            await fleet.dead(0)
+            await back(fleet, None, (0,))
+            await until_bans(fleet, {"f0": True, "f1": True})  # the other one told it
+    run(scenario())
+
+
+def test_two_on_one_folder_the_second_goes_on_without_a_memory():
+    async def scenario():
+        async with site(2) as fleet:
+            fleet.kill(1)
+            await fleet.dead(1)
+            folder, fleet.folder = fleet.folder, lambda number: folder(0)
+            await back(fleet, None, (1,))
+            assert "another process has it" in (await fleet.states())["f1"]["memory"]["why"]
+            fleet.folder = folder
+    run(scenario())
+
+
+def test_where_no_fleet_is_named_nothing_of_it_is_loaded_or_opened(tmp_path):
+    async def scenario():
+        async with MemberSite(1, fleet=False) as plain:
+            pid = plain.forwarders[0].process.pid
+            maps = Path(f"/proc/{pid}/maps").read_text()
+            assert "xxhash" not in maps and "msgspec" not in maps and "lmdb" not in maps
+            opened = [os.readlink(f"/proc/{pid}/fd/{fd}") for fd in os.listdir(f"/proc/{pid}/fd")]
+            assert not any("memory." in path for path in opened)
+    run(scenario())
+
+
+def test_a_client_sees_the_stage_at_the_operators_address_and_in_the_status():
+    async def scenario():
+        async with site(2, recovery={"peers": 3.0}) as fleet:
+            fleet.kill()
+            await fleet.dead()
+            gate = await MemberSite._spawn(fleet, 0, made(fleet, 0), ())
+            fleet.forwarders[0] = gate
+            await until(lambda: logged(gate, "fleet: f0, life"))
+            words = await gate.call("HEALTH")
+            assert words.startswith("fail coming back: ") or words.startswith("ok"), words
+            await back(fleet, None, (1,))
+            await gate.listening()
+            assert (await fleet.states())["f0"]["stages"][-1]["stage"] == "gather"
+            client = Client(*await asyncio.open_connection("127.0.0.1", gate.port))
+            assert (await client.ask("read", plan="team", weight="units=1,spread=2,first=0", timeout="1.0")).status in (
+                200, 503)
+    run(scenario())
+
