Give what the gatekeeper's sides share a file of its own, and write each row within its second

Need: backend, bridge and discovery imported each other in a circle; and the walk over changed customers wrote a shrinking share of them, so that some were older than the second that is promised (2,779 of 3,000 after 2.5 s; found by its test in the whole suite). Change: oliveloft/shapes.py holds lines of the list, news and sinks; the walk spreads what there is evenly over the time left for the oldest. Marks that can wait go together ten times a second, urgent ones at once; dials are quick while a start waits. Tests: store, planners and gatekeepers back in every order, the last late, the store empty or not; a gatekeeper alone waits for what it has lent.

--- a/benchmarks/fleet_at_size.py
+++ b/benchmarks/fleet_at_size.py
@@ -29,6 +29,7 @@
 from micagate import interface as i
 from micagate.estimates import metering
 from oliveloft.discovery import watch
+from oliveloft.shapes import News
 from rig.capacity import Capacity, Load
 from rig.fleet import Entrance, Fleet
 from rig.scripted import BusyDiscovery
@@ -225,7 +226,7 @@
     service, heard = BusyDiscovery(0.004, 0.04), set[int]()
     usual, watch.EACH = watch.EACH, 0.006
 
-    def told(number: int) -> Callable[[watch.News], None]:
+    def told(number: int) -> Callable[[News], None]:
         return lambda news: heard.add(number)
 
     async def scenario() -> None:
--- a/micagate/membership/members.py
+++ b/micagate/membership/members.py
@@ -129,6 +129,7 @@
         self.earlier: dict[str, int] = {}  # the latest life of each before its present one, where that was heard of
         self.heard_of: dict[str, float] = {}  # when each was last heard of as there
         self.beats = 0
+        self.hurry = False  # clients wait for this member: those that refuse are tried again soon
         self._set(Record(name, boot, 1, about=dict(about or {})))
         for fact in facts:
             self._take(fact)
@@ -174,8 +175,10 @@
         for name in near:
             if name in self.links or now < self._next_try.get(name, 0.0):
                 continue
-            self._next_try[name] = now + (self.terms.interval if self.there(name) else self.terms.again) * (
-                0.75 + 0.5 * self._random.random())
+            wait = self.terms.interval if self.there(name) else self.terms.again
+            if self.hurry:
+                wait = self.terms.interval / 4
+            self._next_try[name] = now + wait * (0.75 + 0.5 * self._random.random())
             made.append(name)
         return made
 
--- a/micagate/recovery/kept.py
+++ b/micagate/recovery/kept.py
@@ -19,7 +19,7 @@
 SPAN = 1.0  # seconds in which all that changed is written
 NAMES = 1000  # customers looked at in one step
 STEADY = 0.2  # weight of a second in what is served usually (ours)
-ROWS = 200  # rows made in one step, of each kind
+ROWS = 200  # rows made in one step, of each kind: 2,000 customers a second; of more than that some are older
 
 Row = tuple[str, str, Any]
 
@@ -30,7 +30,7 @@
     def __init__(self, gateway: Gateway, now: float) -> None:
         self._gateway = gateway
         self._since = self._last = now
-        self._changed: dict[str, None] = {}
+        self._changed: dict[str, float] = {}  # customers who asked, and since when that is not written
         self._workers: list[str] = []
         self._core = now
         self.pace = 0.0  # served a second, smoothed: what two seconds showed is off by a fifth by chance
@@ -43,9 +43,11 @@
             for key in islice(reversed(queue), NAMES):  # by last use
                 if queue[key].at < self._since:
                     break
-                self._changed[key] = None
+                self._changed.setdefault(key, now)
         passed, self._since = max(0.0, now - self._since), now
-        share = min(1.0, passed / SPAN)
+        # Evenly over the time that is left for the oldest.
+        left = next(iter(self._changed.values()), now) + SPAN - now
+        share = min(1.0, passed / left) if left > 0 else 1.0
         for key in list(islice(self._changed, min(ROWS, math.ceil(len(self._changed) * share)))):
             del self._changed[key]
             if (account := table.get(key)) is not None:
--- a/micagate/recovery/marks.py
+++ b/micagate/recovery/marks.py
@@ -21,7 +21,7 @@
 from micagate.recovery.mark import Mark
 
 OPEN = 0.5  # of a part that a customer with no mark of its own may spend (ours)
-REQUESTS, SOON = 1.0, 0.5  # a lead: so many of the largest requests seen, or the use of so many seconds, if more (ours)
+REQUESTS, SOON = 1.0, 1.0  # a lead: so many of the largest requests seen, or the use of so many seconds, if more (ours)
 AGAIN = 1.0  # seconds within which a mark follows an account that has filled well above it (ours)
 THIN = 2.0  # units a second: a smaller part's rate may have been lowered by what the meter showed (`quotas.MOVED`)
 HALF = 0.5  # ... to this of it at the least
@@ -63,7 +63,8 @@
         self._kept = dict(kept or {})
         self._mine: dict[str, Mark] = {}  # of this life, and on disk
         self._out: set[str] = set()  # those whose mark is on its way there
-        self.due: dict[str, Account] = {}  # to be marked now
+        self.due: dict[str, Account] = {}  # to be marked soon
+        self.urgent = False  # one of them has to wait for its mark, or its next request will
         # Told of each account that is made, for what else is kept of it.
         self.recall: Callable[[float, Account], None] | None = None
         self._used: dict[str, Account] = {}  # spent from since the last look
@@ -95,7 +96,7 @@
         if a.held is None or a.ceiling - a.held.stands(a.at) >= units:
             return True
         if a.ceiling >= units:
-            self.due[a.key] = a
+            self.due[a.key], self.urgent = a, True
         return False
 
     def spent(self, a: Account) -> None:
@@ -103,8 +104,9 @@
         if a.held is None:
             return
         self._used[a.key] = a
-        if a.ceiling - a.held.stands(a.at) < max(a.top, lead(a) / 2):
-            self.due[a.key] = a
+        left = a.ceiling - a.held.stands(a.at)
+        if left < max(a.top, lead(a) / 2):
+            self.due[a.key], self.urgent = a, self.urgent or left < a.top <= a.ceiling
 
     def look(self) -> None:
         """Once in `AGAIN`: marks for what is well above its last one, so that a crash costs little."""
@@ -116,6 +118,7 @@
     def make(self, now: float) -> list[Mark]:
         """Marks to be written now, `MOST` at the most; one on its way for an account is waited for."""
         made: list[Mark] = []
+        self.urgent = False
         for key in [key for key in self.due if key not in self._out][:MOST]:
             a = self.due.pop(key)
             if a.held is not None:
--- a/oliveloft/backend/connections.py
+++ b/oliveloft/backend/connections.py
@@ -12,8 +12,7 @@
 import re
 import socket
 from collections.abc import Callable, Iterable, Iterator
-from dataclasses import dataclass
-from typing import TYPE_CHECKING, cast
+from typing import cast
 
 import httptools
 
@@ -21,9 +20,7 @@
 from micagate.bodies import keeping
 from oliveloft.backend.rest import Rest
 from oliveloft.bodies.body import Body
-
-if TYPE_CHECKING:
-    from oliveloft.gatekeeper.bridge import Sink
+from oliveloft.shapes import Endpoint, Sink
 
 log = logging.getLogger("oliveloft")
 
@@ -46,14 +43,6 @@
     """A message beyond the limits."""
 
 
-@dataclass(frozen=True, slots=True)
-class Endpoint:
-    """A line of discovery's list: the module's entry and where the worker listens."""
-
-    entry: i.WorkerEntry
-    address: tuple[str, int]
-
-
 class Answer:
     """A worker's whole answer."""
 
--- a/oliveloft/discovery/watch.py
+++ b/oliveloft/discovery/watch.py
@@ -17,17 +17,14 @@
 import logging
 from collections.abc import Callable
 from random import Random
-from typing import Any, cast
+from typing import cast
 
 import httptools
 
-from micagate import interface as i
-from oliveloft.backend.connections import Endpoint
-from oliveloft.gatekeeper.config import address
+from oliveloft.shapes import News
 
 log = logging.getLogger("oliveloft")
 
-STATES = {"up": i.HEALTHY, "draining": i.DRAINING, "removed": i.GONE}
 WAIT = 5.0  # seconds that a watch may stay open: a silent agent is noticed soon after
 SILENCE, LONGEST_SILENCE = 1.5, 12.0  # seconds beyond that, or for an answer that needs no wait, until it is silent
 BACKOFF, DOUBLINGS = 0.25, 2  # seconds within which a failed call is made again, and how often they double ...
@@ -39,49 +36,6 @@
 MAX_LIST = 4 * 1024 * 1024
 
 
-def endpoint(raw: Any, offset: float) -> Endpoint:
-    """An entry of the list; `offset` turns Unix time into the loop's. ValueError says what is wrong."""
-    if not isinstance(raw, dict):
-        raise ValueError("no object")
-    name, state = raw.get("name"), raw.get("status")
-    if not isinstance(name, str) or not name:
-        raise ValueError("name: missing or no text")
-    if state not in STATES:
-        raise ValueError(f"status: {state!r}")
-    where = ("", 0) if state == "removed" else address(raw.get("address"))
-    zone, cell = raw.get("zone", ""), raw.get("group", 0)
-    if not isinstance(zone, str) or not isinstance(cell, int):
-        raise ValueError("zone or group")
-    size, since = raw.get("weight", 1.0), raw.get("since_ms", 0) or 0
-    for value in (size, since):
-        if not isinstance(value, int | float) or isinstance(value, bool) or not 0 <= value < 1e15:
-            raise ValueError(f"weight or since_ms: {value!r}")
-    entry = i.WorkerEntry(worker=name, zone=zone, cell=cell, state=STATES[state], size=float(size),
-                          started=since / 1000 - offset if since else None)
-    return Endpoint(entry, where)
-
-
-class News:
-    """What an answer of discovery says."""
-
-    __slots__ = ("index", "whole", "endpoints", "skipped")
-
-    def __init__(self, raw: Any, offset: float) -> None:
-        if not isinstance(raw, dict) or not isinstance(raw.get("endpoints"), list):
-            raise ValueError("no list of endpoints")
-        index = raw.get("index")
-        if not isinstance(index, int) or isinstance(index, bool):
-            raise ValueError(f"index: {index!r}")
-        self.index, self.whole = index, bool(raw.get("snapshot"))
-        self.endpoints: list[Endpoint] = []
-        self.skipped = ""
-        for item in raw["endpoints"]:
-            try:
-                self.endpoints.append(endpoint(item, offset))
-            except ValueError as error:
-                self.skipped = str(error)
-
-
 class Link(asyncio.Protocol):
     """One connection to an agent, which tells the watch that made it, for as long as it is wanted."""
 
--- a/oliveloft/fleet/member.py
+++ b/oliveloft/fleet/member.py
@@ -41,8 +41,9 @@
 
 log = logging.getLogger("oliveloft")
 
-LOOK = 0.05  # seconds between looks at links, stages and what has changed
-MARKS = 0.01  # seconds between looks for marks that are due
+LOOK = 0.02  # seconds between looks at links and stages while clients wait
+SERVING = 0.1  # ... and at links and what has changed once they are served
+MARKS, GATHERED = 0.02, 0.1  # seconds between looks for marks that somebody waits for, and for those that can wait
 FOLLOW = 0.1  # ... for workers that have warmed
 IDLE = 200  # marks looked at in a second, whether they say anything
 SAID = 0.8  # seconds that an operator's call waits for the disk: it is owed an answer within one
@@ -85,7 +86,7 @@
         self._open = asyncio.Event()
         self._opening = False
         self._listed: dict[str, None] = {}  # workers that have turned up and were not looked up yet
-        self._followed = self._swept = 0.0
+        self._followed = self._swept = self._marked = 0.0
         self._loans = 0.0  # until when loans are on record, on this clock
         self._loans_asked = 0.0
         self.planners: Callable[[], dict[str, float] | None] = lambda: None  # None: there are none
@@ -130,6 +131,7 @@
         if judge(Kind.DRAIN, self._judged(Peers.OPEN)).way is Way.TAKEN and rows.get((DRAIN, "")):
             self._presence.leave(now)
         members.news.clear()
+        members.hurry = True
         others = [name for name in self.fleet.members if name != self.name]
         self._questions = Questions(now, others, self.fleet.limits.peers)
         await self._lines.start()
@@ -285,6 +287,7 @@
             self._pace(now, kept)
         self._walk = Walk(gateway, now)
         self._tell(stages.OPEN)
+        self.members.hurry = False
         took = ", ".join(f"{over.stage} {over.took:.2f}" + (f" (without {over.missing})" if over.missing else "")
                          for over in self.recovery.over)
         log.info("fleet: open after %s", took)
@@ -321,7 +324,7 @@
     def _look(self) -> None:
         if self._stopped:
             return
-        self._later(LOOK, self._look)
+        self._later(SERVING if self._open.is_set() else LOOK, self._look)
         began = time.perf_counter()
         members, now = self.members, self._loop.time()
         assert members is not None
@@ -441,9 +444,12 @@
         if self._stopped:
             return
         self._later(MARKS, self._due)
-        if self._marks is None or self.memory is None or not self._marks.due:
+        now = self._loop.time()
+        if self._marks is None or self.memory is None or not (
+                self._marks.urgent or self._marks.due and now - self._marked >= GATHERED):
             return
-        marks = self._marks.make(self._loop.time())
+        self._marked = now
+        marks = self._marks.make(now)
         if not marks:
             return
         assert self.members is not None
--- a/oliveloft/front/http.py
+++ b/oliveloft/front/http.py
@@ -16,9 +16,10 @@
 from micagate import interface as i
 from micagate.bodies import keeping
 from micagate.operating.presence import Presence
-from oliveloft.backend.connections import HOP_BY_HOP, MAX_BODY, MAX_HEAD, STANDS, Connection
+from oliveloft.backend.connections import HOP_BY_HOP, MAX_BODY, MAX_HEAD, STANDS
 from oliveloft.bodies.body import Body
 from oliveloft.gatekeeper.bridge import Bridge, Request
+from oliveloft.shapes import Source
 
 log = logging.getLogger("oliveloft")
 
@@ -105,7 +106,7 @@
         self.good = False  # it has sent a request that could be served
         self._moved = 0.0  # when a body last moved
         self._held = False  # it is read no further, for want of room for what it sends
-        self._source: Connection | None = None  # of a long answer on its way
+        self._source: Source | None = None  # of a long answer on its way
         self._owed = 0  # bytes of the budget that answers which the client has not read hold
         self._left = 0  # bytes that waited for it at the last look
         self._chunked = self._old = False  # how that goes out; whether its request was HTTP/1.0
@@ -451,7 +452,7 @@
 
     # A long answer, as it comes.
 
-    def begin(self, headers: bytes, length: int | None, source: Connection) -> None:
+    def begin(self, headers: bytes, length: int | None, source: Source) -> None:
         """The answer begins, of this many bytes if that is known."""
         self._current = None
         transport = self._transport
--- a/oliveloft/gatekeeper/bridge.py
+++ b/oliveloft/gatekeeper/bridge.py
@@ -9,37 +9,19 @@
 import logging
 from collections import deque
 from collections.abc import Callable
-from typing import Protocol
 
 from micagate import interface as i
 from micagate.gateway import Gateway
-from oliveloft.backend.connections import Answer, Attempt, Connection, Workers
+from oliveloft.backend.connections import Answer, Attempt, Workers
 from oliveloft.bodies.body import Body
 from oliveloft.counter.client import Counter
-from oliveloft.discovery.watch import News
+from oliveloft.shapes import News, Sink, Source
 
 log = logging.getLogger("oliveloft")
 
 Reply = Callable[[int, bytes, bytes], None]  # status, header lines, body
 
 
-class Sink(Protocol):
-    """Where a long answer goes."""
-
-    def begin(self, headers: bytes, length: int | None, source: Connection) -> None:
-        """The answer begins, of this many bytes if that is known; the source hears `go_on` when it takes more
-        again, and `stop` when nobody is there any more."""
-
-    def more(self, data: bytes) -> bool:
-        """A piece of it; whether it takes more at once."""
-
-    def end(self) -> None:
-        """It is whole."""
-
-    def cut(self) -> None:
-        """It never will be: the client is to see that."""
-
-
 class Request:
     """A client's request until its final reply is out and its attempts have ended."""
 
@@ -115,7 +97,7 @@
             attempt.began = self._loop.time()  # a worker begins with the last byte
             self._told(request)
 
-    def _begins(self, attempt: Attempt, answer: Answer, length: int | None, source: Connection) -> Sink | None:
+    def _begins(self, attempt: Attempt, answer: Answer, length: int | None, source: Source) -> Sink | None:
         """A long answer begins: where it goes, or None where nobody takes it."""
         request = self._requests[attempt.request]
         sink = request.sink
--- a/oliveloft/gatekeeper/process.py
+++ b/oliveloft/gatekeeper/process.py
@@ -20,13 +20,14 @@
 from micagate.operating.presence import Presence
 from oliveloft.backend.connections import Workers
 from oliveloft.counter.client import Counter
-from oliveloft.discovery.watch import Discovery, News
+from oliveloft.discovery.watch import Discovery
 from oliveloft.front.http import Client, Server
 from oliveloft.gatekeeper.bridge import Bridge
 from oliveloft.gatekeeper.config import Config, ConfigError, load
 from oliveloft.manage.operations import Operations
 from oliveloft.manage.server import MOST as CALLERS
 from oliveloft.manage.server import Management
+from oliveloft.shapes import News
 
 if TYPE_CHECKING:  # the platform's gatekeeper has no planners, knows no others, and loads nothing of them
     from oliveloft.fleet.config import FleetConfig
--- /dev/null
+++ b/oliveloft/shapes.py
@@ -0,0 +1,92 @@
+"""What the sides of the gatekeeper hand each other: lines of the list, news of it, and where a long answer goes.
+
+Front, back, discovery and the bridge between them import this, and none of them another for it.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from micagate import interface as i
+from oliveloft.gatekeeper.config import address
+
+STATES = {"up": i.HEALTHY, "draining": i.DRAINING, "removed": i.GONE}
+
+
+@dataclass(frozen=True, slots=True)
+class Endpoint:
+    """A line of discovery's list: the module's entry and where the worker listens."""
+
+    entry: i.WorkerEntry
+    address: tuple[str, int]
+
+
+class Source(Protocol):
+    """Whoever gives a long answer."""
+
+    def go_on(self) -> None:
+        """The client takes more of it."""
+
+    def stop(self) -> None:
+        """Nobody takes it any more."""
+
+
+class Sink(Protocol):
+    """Where a long answer goes."""
+
+    def begin(self, headers: bytes, length: int | None, source: Source) -> None:
+        """The answer begins, of this many bytes if that is known; the source hears `go_on` when it takes more
+        again, and `stop` when nobody is there any more."""
+
+    def more(self, data: bytes) -> bool:
+        """A piece of it; whether it takes more at once."""
+
+    def end(self) -> None:
+        """It is whole."""
+
+    def cut(self) -> None:
+        """It never will be: the client is to see that."""
+
+
+def endpoint(raw: Any, offset: float) -> Endpoint:
+    """An entry of the list; `offset` turns Unix time into the loop's. ValueError says what is wrong."""
+    if not isinstance(raw, dict):
+        raise ValueError("no object")
+    name, state = raw.get("name"), raw.get("status")
+    if not isinstance(name, str) or not name:
+        raise ValueError("name: missing or no text")
+    if state not in STATES:
+        raise ValueError(f"status: {state!r}")
+    where = ("", 0) if state == "removed" else address(raw.get("address"))
+    zone, cell = raw.get("zone", ""), raw.get("group", 0)
+    if not isinstance(zone, str) or not isinstance(cell, int):
+        raise ValueError("zone or group")
+    size, since = raw.get("weight", 1.0), raw.get("since_ms", 0) or 0
+    for value in (size, since):
+        if not isinstance(value, int | float) or isinstance(value, bool) or not 0 <= value < 1e15:
+            raise ValueError(f"weight or since_ms: {value!r}")
+    entry = i.WorkerEntry(worker=name, zone=zone, cell=cell, state=STATES[state], size=float(size),
+                          started=since / 1000 - offset if since else None)
+    return Endpoint(entry, where)
+
+
+class News:
+    """What an answer of discovery says."""
+
+    __slots__ = ("index", "whole", "endpoints", "skipped")
+
+    def __init__(self, raw: Any, offset: float) -> None:
+        if not isinstance(raw, dict) or not isinstance(raw.get("endpoints"), list):
+            raise ValueError("no list of endpoints")
+        index = raw.get("index")
+        if not isinstance(index, int) or isinstance(index, bool):
+            raise ValueError(f"index: {index!r}")
+        self.index, self.whole = index, bool(raw.get("snapshot"))
+        self.endpoints: list[Endpoint] = []
+        self.skipped = ""
+        for item in raw["endpoints"]:
+            try:
+                self.endpoints.append(endpoint(item, offset))
+            except ValueError as error:
+                self.skipped = str(error)
--- a/oliveloft/takeover/place.py
+++ b/oliveloft/takeover/place.py
@@ -12,11 +12,12 @@
 from micagate.gateway import Gateway
 from micagate.handover import state
 from micagate.operating.presence import Presence
-from oliveloft.backend.connections import Attempt, Endpoint, Workers
-from oliveloft.discovery.watch import Discovery, News
+from oliveloft.backend.connections import Attempt, Workers
+from oliveloft.discovery.watch import Discovery
 from oliveloft.front.http import Server
 from oliveloft.gatekeeper.bridge import Bridge
 from oliveloft.manage import protocol
+from oliveloft.shapes import Endpoint, News
 from oliveloft.takeover import wire
 from oliveloft.takeover.giver import Giver
 from oliveloft.takeover.taker import Taker
--- a/rig/returns.py
+++ b/rig/returns.py
@@ -39,6 +39,7 @@
         self.settings = i.Settings(CLASSES, (PLAN,), gateways=count, max_attempts=3, can_cancel=True,
                                    max_retry_advice=0.5, meter_period=0.0, cold_from=cold_from, ramp_time=ramp)
         self.life = 0
+        self.front = list(range(count))  # the gateways that clients come to
         self.seconds: dict[int, Counter[str]] = {}
         self.reasons: dict[int, Counter[str]] = {}
         self.gates: list[Gateway] = []
@@ -70,7 +71,7 @@
         at = int(clock.now)
         tally = self.seconds.setdefault(at, Counter())
         tally["asked"] += 1
-        n = self.random.randrange(self.count)
+        n = self.random.choice(self.front)
         entrance = self.entrances[n]
         if entrance is None:
             return
--- a/tests/discovery/test_discovery.py
+++ b/tests/discovery/test_discovery.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from oliveloft.discovery import watch as module
-from oliveloft.discovery.watch import News
+from oliveloft.shapes import News
 from rig.scripted import BusyDiscovery, Discovery, Worker, config, launch, run, scene, until
 
 
--- /dev/null
+++ b/tests/fleet/test_planner_processes.py
@@ -0,0 +1,97 @@
+"""Members that follow planners: all lose power, the store empty, old or late, and back in every order."""
+
+import asyncio
+import itertools
+import time
+
+import pytest
+
+from rig.members import MemberSite
+from rig.modelled import overspent
+from rig.power import everywhere
+from rig.traffic import Traffic
+
+PLAN = {"Name": "team", "Refill": 40, "MostAtOnce": 40, "HardRate": 24, "CapDepth": 24, "CapSlack": 3}
+SLACK = 3 + 24 * 0.15
+LIMIT = 80.0
+
+
+def run(scenario):
+    asyncio.run(asyncio.wait_for(scenario, LIMIT))
+
+
+def edge(fleet, seed=1):
+    fleet.record.keep_units = True
+    return Traffic(fleet.ports, everywhere(1, 50.0, "team", fleet.count, "write"), fleet.plans, seed, timeout=1.0,
+                   aim=0.5)
+
+
+def kept(fleet):
+    assert fleet.record.units and max(fleet.record.begun.values()) == 1
+    for units in fleet.record.units.values():
+        assert overspent(units, PLAN["HardRate"], PLAN["CapDepth"]) <= SLACK
+    for gate in [*fleet.forwarders, *fleet.planners.values()]:
+        assert not any("Traceback" in line for line in gate.log), gate.log
+
+
+async def lost(fleet):
+    """Everything that plans or passes on loses power."""
+    for planner in fleet.planners.values():
+        planner.process.kill()
+    fleet.kill()
+    await fleet.dead()
+    for planner in fleet.planners.values():
+        await planner.process.wait()
+
+
+@pytest.mark.parametrize("order", list(itertools.permutations(("store", "planners", "gatekeepers"))))
+@pytest.mark.parametrize("empty", [False, True])
+def test_store_planners_and_gatekeepers_come_back_in_every_order_the_last_one_late(order, empty):
+    async def scenario():
+        async with MemberSite(3, planners=2, plans=[PLAN]) as fleet:
+            load = edge(fleet)
+            await load.run(3.0, settle=False)
+            await lost(fleet)
+            fleet.store.down = True
+            if empty:
+                fleet.store.wipe()
+            listened = []
+
+            async def kind(name, wait):
+                await asyncio.sleep(wait)
+                if name == "store":
+                    fleet.store.down = False
+                elif name == "planners":
+                    await asyncio.gather(*(fleet.plan(name) for name in fleet.names))
+                else:
+                    began = time.monotonic()
+                    for number, gate in enumerate(await asyncio.gather(*(fleet.forward(n) for n in range(3)))):
+                        load.ports[number] = gate.port
+                    listened.append(time.monotonic() - began)
+            waits = {name: wait for name, wait in zip(order, (0.0, 0.4, 2.0), strict=True)}
+            playing = asyncio.create_task(load.run(5.0))
+            await asyncio.gather(*(kind(name, wait) for name, wait in waits.items()))
+            report = await playing
+            kept(fleet)
+            # Nothing is waited out that is surely over: planners and gatekeepers all began anew, or a term is past.
+            assert listened[0] < 2.6, listened
+            assert sum(second["served"] for second in report.series.values()) > 60
+    run(scenario())
+
+
+def test_a_gatekeeper_that_comes_back_alone_waits_for_what_it_has_lent():
+    """The others and the planners went on: what it lent may be spent until its end, which stands on its disk."""
+    async def scenario():
+        async with MemberSite(3, planners=2, plans=[PLAN]) as fleet:
+            load = edge(fleet)
+            playing = asyncio.create_task(load.run(9.0))
+            await asyncio.sleep(3.0)
+            fleet.kill(0)
+            await fleet.dead(0)
+            began = time.monotonic()
+            gate = await fleet.forward(0)
+            load.ports[0] = gate.port
+            assert time.monotonic() - began > 0.9
+            await playing
+            kept(fleet)
+    run(scenario())
--- a/tests/gatekeeper/test_bridge.py
+++ b/tests/gatekeeper/test_bridge.py
@@ -8,8 +8,8 @@
 
 from micagate import interface as i
 from oliveloft.backend.connections import Connection, Workers
-from oliveloft.discovery.watch import News
 from oliveloft.gatekeeper.bridge import Bridge, Request
+from oliveloft.shapes import News
 from rig.scripted import Worker, answer, hang, run, until
 
 SETTINGS = i.Settings((i.RequestClass("write", 1.0, 4.0, i.SIDE_EFFECT),), (i.Plan("free"),), max_attempts=2)
