Void a disk that a life could not begin on, so that an earlier life's marks are not believed

Need, found by reading the change: a gatekeeper whose disk was full, or hung, at its start served without marks; if it then died and the disk was well again, the next life found the marks of the life before and believed them. A start also waited for a hanging disk without an end. Cause: Memory.begin failed without marking the log void; Member._begin went on where the new life was not on disk in time; remember awaited begin with no bound. Change: each of the three gives the disk up, which voids it in place; a copy that was under way does not take that back. Room at cold workers follows NInstances by the share of members that are up.

--- a/oliveloft/fleet/member.py
+++ b/oliveloft/fleet/member.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import logging
 import time
@@ -82,7 +83,6 @@
         self._kept: Kept | None = None
         self._marks: Marks | None = None
         self._walk: Walk | None = None
-        self._timers: list[asyncio.TimerHandle] = []
         self._open = asyncio.Event()
         self._opening = False
         self._listed: dict[str, None] = {}  # workers that have turned up and were not looked up yet
@@ -123,8 +123,12 @@
             carried = {key: value for key, value in self._found.records.items()
                        if self._found.owner == self.name or key[0] == FACT}
             carried[BOOT, ""] = boot
-            if not await self.memory.begin(carried):
-                self.why = self.memory.why
+            beginning = self._loop.create_task(self.memory.begin(carried))
+            await asyncio.wait((beginning,), timeout=self.fleet.limits.memory or None)
+            if not beginning.done():
+                self.memory.give_up(f"no answer of the disk for {self.fleet.limits.memory:g} s")
+            self.why = self.memory.why
+            self._beginning = beginning
         for fact in facts:
             if fact.kind == BAN:
                 self._ban(fact)
@@ -276,6 +280,8 @@
                 kept = self._kept
                 if kept is not None:
                     marks.recall = kept.account
+            elif self.memory.believed:
+                self.memory.give_up("this life could not be written in time")  # or the last one's marks would stand
         elif self.memory is not None:
             await self._new_life(now)
         now = self._loop.time()
@@ -349,7 +355,8 @@
                 self._marks.look()
                 for key in self._marks.idle(now, IDLE):
                     self.memory.put(MARK, key, None)
-        self._gateway.fleet.among = max(1, min(members.up(), len(self.fleet.members)))
+        share = members.up() / len(self.fleet.members)
+        self._gateway.fleet.among = max(1, round(self._settings.gateways * share))
         self.longest_step = max(self.longest_step, time.perf_counter() - began)
 
     def _beats(self) -> None:
@@ -443,7 +450,7 @@
         """Marks that are due go to the disk."""
         if self._stopped:
             return
-        self._later(MARKS, self._due)
+        self._later(MARKS if self._marks is not None else SAID, self._due)
         now = self._loop.time()
         if self._marks is None or self.memory is None or not (
                 self._marks.urgent or self._marks.due and now - self._marked >= GATHERED):
@@ -727,7 +734,8 @@
                     last.append((MARK, mark.key, [mark.level, mark.at, mark.top, mark.rate, self.members.boot]))
             last.append((LIFE, "", {**self._life_row(self._born()), "end": End.ASKED.value,
                                     "stepped": self._told.stepped}))
-        await asyncio.wait_for(self.memory.close(last), 2.0)
+        with contextlib.suppress(TimeoutError):  # a disk that hangs: the next life finds that it was killed
+            await asyncio.wait_for(self.memory.close(last), 2.0)
 
     def _born(self) -> float | None:
         """When this life's mark for all was made; None: nothing of it is to be believed."""
--- a/oliveloft/memory/log.py
+++ b/oliveloft/memory/log.py
@@ -163,13 +163,14 @@
         return self._void
 
     def begin(self, records: Iterable[Record]) -> None:
-        """Write all that holds to a new file, synced; older files go then, and what was void is so no more."""
+        """Write all that holds to a new file, synced; older files go then, and what was void before is so no more."""
+        void = self._void  # what is voided while this goes on stays so
         self.start()
         rows = list(records)
         for first in range(0, len(rows), PIECE):
             self.copy(rows[first:first + PIECE])
         self.finish()
-        if self._void and self._state is not None:  # not sooner: the old file must not be believed again
+        if void and self._state is not None:  # not sooner: the old file must not be believed again
             self._state.put(b"good")
             self._state.sync()
             self._void = False
--- a/oliveloft/memory/memory.py
+++ b/oliveloft/memory/memory.py
@@ -54,6 +54,7 @@
         self._next_try = 0.0
         self._copying: list[Key] | None = None  # left of a copy under way
         self._copied = 0  # bytes of the last copy
+        self._given_up = False
         self.believed = False  # whether what is on disk holds, and what is told to be there will be
         self.why = "not open"
         self.batches = self.records = 0
@@ -77,14 +78,20 @@
         """Hold these, and only these, from now on; whether they are on disk."""
         self._live = {key: msgspec.Raw(_encode(value)) for key, value in records.items()}
         rows = [(kind, key, raw) for (kind, key), raw in self._live.items()]
+        self._busy, self._began = True, time.monotonic()
+        self._tick()
         try:
             await self._loop.run_in_executor(self._writer, self._log.begin, rows)
         except OSError as error:
+            self._busy = False
             self._fails(error)
-            self.why = error.strerror or str(error)
+            self.give_up(error.strerror or str(error))  # what stands there is of an earlier life
         else:
-            self.believed, self.why = True, ""
-        self._tick()
+            self._busy = False
+            if self._given_up:
+                self._failing = self._began  # it came too late: all is written once more before it counts
+            else:
+                self.believed, self.why = True, ""
         return self.believed
 
     def put(self, kind: str, key: str, value: Any) -> None:
@@ -191,17 +198,18 @@
         self._waiting.clear()
 
     def _recovered(self) -> None:
-        self._failing = None
+        self._failing, self._given_up = None, False
         self.why = ""
         if not self.believed:
             self.believed = True
             log.info("memory: on disk again")
             self._again()
 
-    def _give_up(self, why: str) -> None:
+    def give_up(self, why: str) -> None:
         """Nothing on disk is to be believed from here on: said to the owner first, then to the disk."""
-        self.believed = False
+        self.believed, self._given_up = False, True
         self.why = why
+        self._failing = self._failing or time.monotonic()
         self._lost(why)
         log.warning("memory: %s; nothing of it is believed from here on", why)
         for future in self._waiting:
@@ -222,12 +230,12 @@
         if self._busy:
             if now - self._began > HOLD:
                 if self.believed:
-                    self._give_up(f"no answer of the disk for {HOLD:g} s")
+                    self.give_up(f"no answer of the disk for {HOLD:g} s")
                 self._failing = self._failing or self._began
             return
         if self._failing is not None:
             if self.believed and now - self._failing > HOLD:
-                self._give_up(self.why)
+                self.give_up(self.why)
             if now >= self._next_try:  # a whole copy: what the failure left is not known
                 self._next_try = now + AGAIN
                 rows = [(kind, key, raw) for (kind, key), raw in self._live.items()]
--- a/tests/memory/test_memory.py
+++ b/tests/memory/test_memory.py
@@ -82,6 +82,24 @@
     run(scenario())
 
 
+def test_a_disk_that_can_t_be_begun_on_is_voided_so_that_what_stands_there_is_not_believed(tmp_path):
+    async def scenario():
+        log = Log(PlainDisk(str(tmp_path)), "g1")
+        log.find()
+        log.begin([("mark", "c", 1)])
+        log.close()
+        knobs = Knobs(room=0)
+        memory = Memory(asyncio.get_running_loop(), Broken(PlainDisk(str(tmp_path)), knobs), "g1")
+        found = await memory.open()
+        assert not found.void and not await memory.begin(found.records)
+        await until(lambda: Log(PlainDisk(str(tmp_path)), "g1").find().void)
+        knobs.room = -1
+        await until(lambda: memory.believed)
+        assert not Log(PlainDisk(str(tmp_path)), "g1").find().void
+        await memory.close()
+    run(scenario())
+
+
 def test_a_disk_that_hangs_is_given_up_though_it_says_nothing(tmp_path, monkeypatch):
     monkeypatch.setattr(module, "HOLD", 0.4)
 
