Drop a method of the rig's member sites that only called the one it replaced

Need: found by reading the change once more: MemberSite.config did nothing but call Installation.config. Change: it is gone; no behaviour changes, and nothing of the program. Measured: linter and types clean, two tests of member processes pass.

--- a/rig/members.py
+++ b/rig/members.py
@@ -66,10 +66,6 @@
         verb = (*words, "--fleet", file) if words else ("member", "--fleet", file)
         return await spawn(made, str(Path(self._folder.name) / f"knobs-{number}"), *verb, module="rig.member")
 
-    def config(self) -> Any:
-        """The planners' configuration, where there are planners."""
-        return super().config()
-
     async def fleet_config(self) -> FleetConfig:
         """The fleet's, with no link between."""
         linked, self.linked = self.linked, False
