--- a/micagate/endings.py
+++ b/micagate/endings.py
@@ -1,4 +1,4 @@
-"""What is called off, and what is given back, where a request ends. No I/O."""
+"""What is given back where a request ends. No I/O."""
 
 from __future__ import annotations
 
@@ -10,18 +10,6 @@
 from micagate.pending import Pending
 
 
-def left(settings: i.Settings, pending: Pending | None) -> list[i.Action]:
-    """What is called off where a client has left.
-
-    What may be repeated is, so that its worker and its customer's place are free. What may not runs to its end: the
-    client may want it done, and can't tell whether it was.
-    """
-    if pending is None or not settings.can_cancel or pending.klass.effect != i.PURE:
-        return []
-    return [i.Cancel(pending.request.request, number)
-            for number, attempt in enumerate(pending.attempts) if not attempt.status]
-
-
 def settle(counting: Counting, pending: Pending, owed: Mapping[str, Pending]) -> None:
     """Settle a request once it is over, as it is not among those that are owed their end, and has nothing out.
 
--- a/micagate/gateway.py
+++ b/micagate/gateway.py
@@ -10,7 +10,7 @@
 
 from micagate import interface as i
 from micagate.counting.counting import Counting, Verdict
-from micagate.endings import left, settle
+from micagate.endings import settle
 from micagate.estimates.waits import Waits
 from micagate.fleet import STALL, Fleet
 from micagate.moves import move
@@ -76,7 +76,7 @@
                 self._started(now, request, number, event.took)
             case i.Abandoned(request):
                 self._held.pop(request, None)
-                self._actions += left(self._s, self._over(request))
+                self._over(request)
             case i.Ending(request):
                 self._ending(now, request)
             case i.Counted():
--- a/oliveloft/backend/connections.py
+++ b/oliveloft/backend/connections.py
@@ -99,9 +99,15 @@
             connection.close()
         self.finish(status)
 
+    def take_back(self) -> None:
+        """End it before anything of it is written; the connection that is coming up for it is of use to others."""
+        if self.connection is not None:
+            self.connection.attempt = None
+        self.finish(i.VOID)
+
     def unsent(self) -> bool:
         """Whether nothing of it has been written: its connection is still coming up."""
-        return self.connection is not None and self.connection.transport is None
+        return not self.done and self.connection is not None and self.connection.transport is None
 
     def written(self) -> bool:
         """Whether the worker has all of the request."""
@@ -175,10 +181,10 @@
         # A limit of 0 makes the transport tell by pause and resume when the last byte has left.
         self.transport.set_write_buffer_limits(high=0)
         attempt = self.attempt
-        if self._adopted and not self._closed:
-            self._pool.keep(self)
-        elif attempt is None or self._closed:
+        if self._closed:
             self.transport.abort()
+        elif attempt is None:  # another process has opened it, or who asked for it has taken that back
+            self._pool.keep(self)
         elif self.process.told is not None:
             # Guards the drain rule: told while this connection came up, so nothing was written.
             self._end(i.VOID)
--- a/oliveloft/gatekeeper/bridge.py
+++ b/oliveloft/gatekeeper/bridge.py
@@ -116,8 +116,9 @@
     def abandon(self, request: Request) -> None:
         """The client has left: nothing of its request goes out any more.
 
-        What a worker has whole is the module's to call off. What the client has not sent whole can't go on: the worker
-        sees that, and has run nothing. First the module hears of it, or it would try again what ends here.
+        What a worker has whole runs to its end. What the client has not sent whole can't go on: the worker sees that,
+        and has run nothing. A connection that is coming up for it does so for others. First the module hears of it, or
+        it would try again what ends here.
         """
         if not request.ended:
             self._close(request)
@@ -125,7 +126,7 @@
         cut = isinstance(request.body, Body) and not request.body.whole
         for attempt in request.attempts:
             if attempt.unsent():
-                attempt.give_up(i.VOID)
+                attempt.take_back()
             elif cut:
                 attempt.give_up(i.CANCELLED)
 
@@ -139,7 +140,10 @@
                 continue
             self._hand(i.Ending(name), name)
             for attempt in list(request.attempts):
-                attempt.give_up(i.VOID if attempt.unsent() else i.TIMED_OUT)
+                if attempt.unsent():
+                    attempt.take_back()
+                else:
+                    attempt.give_up(i.TIMED_OUT)
             if not request.ended:
                 self._expired(request)  # guards against a request that the module forgot
 
