--- a/oliveloft/gatekeeper/bridge.py
+++ b/oliveloft/gatekeeper/bridge.py
@@ -107,6 +107,7 @@
             request.timer.cancel()  # it flows as long as the worker gives
             request.timer = None
         request.reply, request.sink, request.ended = None, None, True
+        self._take_back(request)
         name = attempt.request
         attempt.first = self._loop.time()
         self._hand(i.StreamStarted(name, attempt.number, attempt.worker, attempt.first - attempt.began), name)
@@ -117,17 +118,13 @@
         """The client has left: nothing of its request goes out any more.
 
         What a worker has whole runs to its end. What the client has not sent whole can't go on: the worker sees that,
-        and has run nothing. A connection that is coming up for it does so for others. First the module hears of it, or
-        it would try again what ends here.
+        and has run nothing. First the module hears of it, or it would try again what ends here.
         """
         if not request.ended:
             self._close(request)
             self._hand(i.Abandoned(request.event.request), request.event.request)
-        cut = isinstance(request.body, Body) and not request.body.whole
-        for attempt in request.attempts:
-            if attempt.unsent():
-                attempt.take_back()
-            elif cut:
+        if isinstance(request.body, Body) and not request.body.whole:
+            for attempt in request.attempts:
                 attempt.give_up(i.CANCELLED)
 
     def leave(self) -> None:
@@ -299,8 +296,19 @@
 
     def _close(self, request: Request) -> None:
         request.ended, request.reply = True, None
+        self._take_back(request)
         self._forget(request)
 
+    def _take_back(self, request: Request) -> None:
+        """Nothing of a request goes out once it is over: not on connections that are coming up, either.
+
+        Guards against a second copy that is sent on after the answer, and one whose client has left. The connections
+        come up for others.
+        """
+        for attempt in request.attempts:
+            if attempt.unsent():
+                attempt.take_back()
+
     def _forget(self, request: Request) -> None:
         """Drop a request that is over."""
         if request.ended and not request.out:
--- a/rig/scripted.py
+++ b/rig/scripted.py
@@ -155,6 +155,44 @@
                 "status": "up", "weight": 1.0, "since_ms": 0, **changes}
 
 
+def tcp_states(port: int, state: str, local: bool) -> int:
+    """How many connections from or to a port are in a state of TCP."""
+    end = f"0100007F:{port:04X}"
+    lines = [line.split() for line in Path("/proc/net/tcp").read_text().splitlines()]
+    return sum(line[1 if local else 2] == end and line[3] == state for line in lines)
+
+
+class Plugged(Worker):
+    """A worker whose machine is there, and whose connections do not come up until it is opened."""
+
+    def __init__(self, name: str, script: Script | None = None) -> None:
+        super().__init__(name, script)
+        self.sock, self.plugs = socket.socket(), list[socket.socket]()
+
+    async def start(self) -> Self:
+        """Listen, and be full."""
+        self.sock.bind(("127.0.0.1", 0))
+        self.sock.listen(0)
+        self.port = self.sock.getsockname()[1]
+        while not self.coming:  # the queue of those that stand is full
+            self.plugs.append(plug := socket.socket())
+            plug.setblocking(False)
+            plug.connect_ex(("127.0.0.1", self.port))
+            await asyncio.sleep(0)
+        return self
+
+    @property
+    def coming(self) -> int:
+        """How many connections to it are coming up: SYN-SENT, of whoever."""
+        return tcp_states(self.port, "02", local=False)
+
+    async def open(self) -> None:
+        """Let them come up."""
+        for plug in self.plugs:
+            plug.close()
+        self._server = await asyncio.start_server(self._serve, sock=self.sock)
+
+
 class Discovery(Listener):
     """A scripted discovery: a list, and watches that hear of its changes."""
 
--- a/tests/endings/test_left_clients.py
+++ b/tests/endings/test_left_clients.py
@@ -3,55 +3,19 @@
 import asyncio
 import socket
 import struct
-from pathlib import Path
 
 import pytest
 
 from micagate import interface as i
 from rig.driver import Driver, sends
-from rig.scripted import Client, Worker, answer, hang, once, run, scene, until
+from rig.scripted import Client, Plugged, Worker, answer, hang, once, run, scene, tcp_states, until
 
 SLOW = {"Caps": {"ConnectTimeoutUs": 10_000_000}}  # so that only a client's leaving ends what is coming up
 
 
-class Plugged(Worker):
-    """A worker whose machine is there, and whose connections do not come up until it is opened."""
-
-    async def start(self):
-        self.sock = socket.socket()
-        self.sock.bind(("127.0.0.1", 0))
-        self.sock.listen(0)
-        self.port = self.sock.getsockname()[1]
-        self.plugs = []
-        while not self.coming:  # the queue of those that stand is full
-            self.plugs.append(plug := socket.socket())
-            plug.setblocking(False)
-            plug.connect_ex(("127.0.0.1", self.port))
-            await asyncio.sleep(0)
-        return self
-
-    @property
-    def coming(self) -> int:
-        """How many connections to it are coming up: SYN-SENT, of whoever."""
-        return states(self.port, "02", local=False)
-
-    async def open(self) -> None:
-        """Let them come up."""
-        for plug in self.plugs:
-            plug.close()
-        self._server = await asyncio.start_server(self._serve, sock=self.sock)
-
-
-def states(port: int, state: str, local: bool) -> int:
-    """How many connections from or to a port are in a state of TCP."""
-    end = f"0100007F:{port:04X}"
-    lines = [line.split() for line in Path("/proc/net/tcp").read_text().splitlines()]
-    return sum(line[1 if local else 2] == end and line[3] == state for line in lines)
-
-
 def left_open(port: int) -> int:
     """How many clients of a gatekeeper have closed, and it has not: CLOSE-WAIT."""
-    return states(port, "08", local=True)
+    return tcp_states(port, "08", local=True)
 
 
 def leave(client: Client, how: str) -> None:
