--- a/review/standins.py
+++ b/review/standins.py
@@ -432,6 +432,8 @@
     record = Record(Path(file).resolve().parent)
     platform = Platform(record)
     status = 2
+    for number in (signal.SIGTERM, signal.SIGHUP):  # whoever ends the script early leaves no process behind
+        signal.signal(number, lambda *_: sys.exit(2))
     record.add(f"the case begins, {'with' if TROUBLE else 'without'} the disruption")
     try:
         held = asyncio.run(asyncio.wait_for(case(record, platform), seconds))
