--- a/review/1/case.py
+++ b/review/1/case.py
@@ -28,7 +28,7 @@
 GATEKEEPERS, WORKERS = 3, 9
 CONNECTIONS = 20  # of the front to each gatekeeper; on each one request after another
 ONE_WAY_SECONDS = 0.0012  # of the network between a gatekeeper and a worker on another floor
-SECOND_AFTER_SECONDS = 0.001  # how late a second answer leaves its worker
+SECOND_AFTER_SECONDS = 0.002  # how late a second answer leaves its worker
 SECOND_SHARE = 0.02  # of the answers
 WORK_SECONDS = 0.1, 0.18
 QUIET_SECONDS, SECONDS = 3.0, 25.0
