Let operators' calls hold in both processes from the instant of the state

Cause: the predecessor sends its state at one instant, the successor serves after it has waited for its agent, up to 1 s later. Handoff.forward_call asked whether the successor served already, so a call in between stayed in the old process.

Evidence: the old process's log has the maintenance, the new one's has not.

Change: calls are forwarded from that instant on, in both directions, as the old process may go on if the new one dies. A forwarded call applies whether or not the worker is listed, and a call that failed is not forwarded. Same cause: list updates that only the predecessor gets are forwarded in a part that an earlier version ignores, and LEAVE and JOIN that the new process answers before it has read the state are applied after it.

Failed try: a first form of the list test let two workers choose and passed on the text before, too; it has one now.

--- a/benchmarks/operations.py
+++ b/benchmarks/operations.py
@@ -147,6 +147,9 @@
     def restore_network_state(self, parts: dict[str, Any]) -> None:
         """Ignore the network state."""
 
+    def update_list(self, update: dict[str, Any]) -> None:
+        """Ignore an update of the worker list; none is passed."""
+
     def adopt_client(self, sock: socket.socket, good: bool) -> None:
         """Ignore a client connection; none is passed."""
 
--- a/oliveloft/discovery/watch.py
+++ b/oliveloft/discovery/watch.py
@@ -92,6 +92,11 @@
         """Whether discovery is an agent that serves this process alone."""
         return self._policy.own_agent
 
+    @property
+    def has_answer(self) -> bool:
+        """Whether discovery has answered since the process started."""
+        return self._first_answer_received.is_set()
+
     async def first_answer(self, timeout_seconds: float) -> bool:
         """Wait for the first answer since the process started; return whether it came in time."""
         try:
--- a/oliveloft/gatekeeper/process.py
+++ b/oliveloft/gatekeeper/process.py
@@ -130,11 +130,13 @@
             server.workers_available()
         if member is not None:
             member.worker_list_changed()
+        if handoff is not None:
+            handoff.forward_list(update)
 
     index = None
     took_over = False  # whether this process has the state of a predecessor
     if handoff is not None and handoff_folder:
-        handoff.apply_call = operations.apply
+        handoff.apply_call = operations.apply_forwarded
         if took_over := await handoff.take_over(config.name, handoff_folder):
             index = handoff.index if handoff.discovery_address == config.discovery else None
     if member is not None:
@@ -175,6 +177,9 @@
         config.seed,
     )
 
+    if handoff is not None:
+        handoff.discovery = discovery
+
     def reload() -> None:
         """Read the configuration again and apply its addresses; all other settings are read only at the start."""
         try:
@@ -212,9 +217,7 @@
 
     server.accepting = True
     if handoff is not None and handoff_folder:
-        handoff.on_accepting(
-            config.name, handoff_folder, listener, lambda: _open_listener(loop, config, server), discovery
-        )
+        handoff.on_accepting(config.name, handoff_folder, listener, lambda: _open_listener(loop, config, server))
 
     gc.collect()
     gc.freeze()
--- a/oliveloft/manage/operations.py
+++ b/oliveloft/manage/operations.py
@@ -39,9 +39,9 @@
 
         Where the member of a fleet persists the call, the result is a future that is done once it is on disk.
         """
-        if self._forward_call is not None and call.command not in protocol.READ_ONLY_CALLS:
-            self._forward_call(call)
         succeeded, answer = self.apply(call)
+        if self._forward_call is not None and succeeded and call.command not in protocol.READ_ONLY_CALLS:
+            self._forward_call(call)
         if self._member is None or not succeeded or call.command in protocol.READ_ONLY_CALLS:
             return succeeded, answer
         if call.command in (protocol.OFFLINE, protocol.ONLINE):
@@ -80,8 +80,18 @@
                     log.info("taking clients again")
                 return True, "taking clients"
 
-    def _set_maintenance(self, worker: str, in_maintenance: bool) -> tuple[bool, str]:
-        if not self._dispatcher.set_maintenance(worker, in_maintenance):
+    def apply_forwarded(self, call: protocol.Call) -> None:
+        """Execute a call that the other process of a hot restart has answered.
+
+        It applies whether or not the worker is known here: only the other process may have been notified of it yet.
+        """
+        if call.command in (protocol.OFFLINE, protocol.ONLINE):
+            self._set_maintenance(call.worker, call.command == protocol.OFFLINE, since=self._loop.time())
+        else:
+            self.apply(call)
+
+    def _set_maintenance(self, worker: str, in_maintenance: bool, since: float | None = None) -> tuple[bool, str]:
+        if not self._dispatcher.set_maintenance(worker, in_maintenance, since):
             return False, f"no worker {worker} is known here"
         log.info("worker %s is %s", worker, "out for maintenance" if in_maintenance else "back")
         return True, f"nothing more goes to {worker}" if in_maintenance else f"{worker} is back"
--- a/oliveloft/takeover/handoff.py
+++ b/oliveloft/takeover/handoff.py
@@ -31,6 +31,11 @@
 log = logging.getLogger("oliveloft")
 
 
+def _list_row(entry: interface.WorkerEntry, address: tuple[str, int]) -> list[Any]:
+    """Return a row of the worker list as it is sent to a successor."""
+    return [entry.worker, entry.zone, entry.cell, entry.state, entry.size, entry.started, *address]
+
+
 class Handoff:
     """Connects this process to the other one of a hot restart.
 
@@ -59,18 +64,25 @@
         self.open_listener: Callable[[], ClientListener] | None = None
         self.discovery: DiscoveryWatch | None = None
         self.predecessor: Predecessor | None = None
-        self.apply_call: Callable[[protocol.Call], tuple[bool, str]] | None = None
+        self.apply_call: Callable[[protocol.Call], None] | None = None  # executes a call that was forwarded
         self.index: int | None = None  # version of the worker list that was taken over
         self.discovery_address: tuple[str, int] | None = None  # the discovery service that this list came from
         self._successor: Successor | None = None
+        self._early_calls: list[protocol.Call] = []  # calls before the state was restored, which replaces their effect
         self._tasks: set[asyncio.Task[Any]] = set()
 
     async def take_over(self, name: str, folder: str) -> bool:
         """Take over the state of the serving process; return whether there was one and its state was restored."""
         successor = Successor(self._loop, name, self._gateway, self, self._loop.time, self._dispatcher.handle)
-        if await successor.request_state(folder):
-            self._successor = successor
-        return self._successor is not None
+        self._successor = successor
+        if not await successor.request_state(folder):
+            self._successor = None
+            return False
+        early_calls, self._early_calls = self._early_calls, []
+        for call in early_calls:
+            self.on_operator_call(call.command, call.worker)
+            self.forward_call(call)
+        return True
 
     def on_accepting(
         self,
@@ -78,10 +90,9 @@
         folder: str,
         listener: ClientListener,
         open_listener: Callable[[], ClientListener],
-        discovery: DiscoveryWatch,
     ) -> None:
         """Tell the predecessor that this process accepts clients, and wait for a successor of its own."""
-        self.listener, self.open_listener, self.discovery = listener, open_listener, discovery
+        self.listener, self.open_listener = listener, open_listener
         if self._successor is not None:
             self._successor.confirm_accepting()
         self.predecessor = Predecessor(self._loop, name, folder, self._gateway, self, self._loop.time)
@@ -115,7 +126,7 @@
             "index": watch.index if watch is not None else None,
             "told_by": list(watch.address) if watch is not None else None,
             "list": [
-                [e.worker, e.zone, e.cell, e.state, e.size, e.started, *address]
+                _list_row(e, address)
                 for e in self._gateway.maintenance.entries.values()
                 if (address := self._workers.address(e.worker)) is not None
             ],
@@ -148,15 +159,29 @@
             )
 
     def forward_call(self, call: protocol.Call) -> None:
-        """Forward an operator's call to the other process of a hot restart, if both are alive.
+        """Forward an operator's call to the other process of a hot restart, once that process has the state.
 
-        So the predecessor's retries respect maintenance that only the successor was notified of, and the successor
-        follows calls that still reach the predecessor.
+        So the successor follows calls that still reach the predecessor, from the instant of the state that was sent to
+        it. The predecessor follows calls that reach the successor: for its retries, and because it may go on.
+        """
+        message = wire.OperatorCall(call.command, call.worker)
+        if self.predecessor is not None and self.predecessor.send(message):
+            return
+        if self._successor is None:
+            return
+        if self._successor.restored:
+            self._successor.send(message)
+        else:
+            self._early_calls.append(call)
+
+    def forward_list(self, update: DiscoveryUpdate) -> None:
+        """Forward an update of the worker list to a successor that has the state.
+
+        The successor's agent may be silent since then, and what this process was notified of holds for both.
         """
-        if self.predecessor is not None and self.predecessor.superseded:
-            self.predecessor.send(wire.OperatorCall(call.command, call.worker))
-        elif self._successor is not None and call.command in (protocol.OFFLINE, protocol.ONLINE):
-            self._successor.send(wire.OperatorCall(call.command, call.worker))
+        if self.predecessor is not None:
+            rows = [_list_row(endpoint.entry, endpoint.address) for endpoint in update.endpoints]
+            self.predecessor.send(wire.StatePart(wire.LIST_UPDATE, {"snapshot": update.is_snapshot, "list": rows}))
 
     @property
     def superseded(self) -> bool:
@@ -174,19 +199,27 @@
         draining_since = parts.get("left")
         if draining_since is not None:
             self._presence.start_drain(float(draining_since))
-        update = DiscoveryUpdate({"index": 0, "snapshot": True, "endpoints": []})
-        for worker, zone, cell, status, size, started, host, port in parts["list"]:
-            entry = interface.WorkerEntry(worker, zone, cell, status, size, started)
-            update.endpoints.append(Endpoint(entry, (host, port)))
-        if update.endpoints:
-            self._dispatcher.update_workers(update)
-            self._server.workers_available()
+        if parts["list"]:
+            self._update_workers(parts["list"], is_snapshot=True)
         index, address = parts.get("index"), parts.get("told_by")
         if isinstance(index, int) and isinstance(address, list | tuple):
             self.index, self.discovery_address = index, (address[0], address[1])
         for worker_in_maintenance in parts.get("banned", ()):
             self._workers.start_maintenance(str(worker_in_maintenance))
 
+    def update_list(self, update: dict[str, Any]) -> None:
+        """Apply what the predecessor's `forward_list` sent, unless this process has a list of its own agent by now."""
+        if self.discovery is None or not self.discovery.has_answer:
+            self._update_workers(update["list"], update["snapshot"])
+
+    def _update_workers(self, rows: list[list[Any]], is_snapshot: bool) -> None:
+        update = DiscoveryUpdate({"index": 0, "snapshot": is_snapshot, "endpoints": []})
+        for worker, zone, cell, status, size, started, host, port in rows:
+            entry = interface.WorkerEntry(worker, zone, cell, status, size, started)
+            update.endpoints.append(Endpoint(entry, (host, port)))
+        self._dispatcher.update_workers(update)
+        self._server.workers_available()
+
     def adopt_client(self, sock: socket.socket, good: bool) -> None:
         """Adopt a client connection; `good` is whether it has carried a valid request."""
         self._track(self._loop.create_task(self._server.adopt(sock, good)))
--- a/oliveloft/takeover/predecessor.py
+++ b/oliveloft/takeover/predecessor.py
@@ -148,7 +148,7 @@
                 self.stop()
                 log.info("takeover: the new process serves")
                 self._process.on_superseded()
-            case wire.OperatorCall(command, worker) if self.superseded:
+            case wire.OperatorCall(command, worker) if self._paused:
                 self._process.on_operator_call(command, worker)
             case wire.Rejected(reason):
                 channel.close(f"the new process rejected the handoff: {reason}")
@@ -185,6 +185,7 @@
         for first in range(0, len(attempts), ROWS_PER_MESSAGE):
             channel.send(wire.StatePart("outs", attempts[first : first + ROWS_PER_MESSAGE]))
         channel.send(wire.StateComplete(self._clock()))
+        log.info("takeover: the new process has the state; no clients are accepted here until it serves or fails")
 
     def send(self, message: wire.Message, fd: int | None = None) -> bool:
         """Send a message to a successor that has received the state; return whether there is one.
--- a/oliveloft/takeover/successor.py
+++ b/oliveloft/takeover/successor.py
@@ -28,6 +28,9 @@
     def restore_network_state(self, parts: dict[str, Any]) -> None:
         """Restore the state of the predecessor's network side."""
 
+    def update_list(self, update: dict[str, Any]) -> None:
+        """Apply an update of the worker list that the predecessor was notified of after it sent its state."""
+
     def adopt_client(self, sock: socket.socket, good: bool) -> None:
         """Adopt a client connection; `good` is whether it has carried a valid request."""
 
@@ -77,6 +80,11 @@
             self._fail("it takes too long")
             return False
 
+    @property
+    def restored(self) -> bool:
+        """Whether the predecessor's state has been restored here."""
+        return self._restored
+
     def send(self, message: wire.Message) -> None:
         """Send a message to the predecessor, if it is still connected."""
         if self._channel is not None:
@@ -144,6 +152,8 @@
                 self._deficits.append(value)
             case wire.StatePart("outs", value):
                 self._parts["outs"] += value
+            case wire.StatePart(wire.LIST_UPDATE, value):
+                self._process.update_list(value)
             case wire.StatePart(name, value):
                 self._parts[name] = value
             case wire.StateComplete():
--- a/oliveloft/takeover/wire.py
+++ b/oliveloft/takeover/wire.py
@@ -14,6 +14,7 @@
 
 VERSION = 1
 MAX_DATAGRAM_BYTES = 128 * 1024
+LIST_UPDATE = "list_update"  # name of a part that is sent after the state; an earlier version ignores it
 
 
 class MalformedMessage(Exception):
--- a/tests/takeover/test_takeover.py
+++ b/tests/takeover/test_takeover.py
@@ -141,6 +141,104 @@
     run(scenario())
 
 
+@contextlib.asynccontextmanager
+async def restart_with_silent_discovery(*workers):
+    """A hot restart in which the new process has the state but does not serve yet: it waits for its silent agent."""
+    async with ProcessHost(*workers) as house:
+        old = await house.start_process()
+        await house.discovery.wait_until_watched()
+        house.discovery.unresponsive = True
+        new = await house.start_process(ready=False)
+        await old.wait_for_log("the new process has the state")
+        yield house, old, new
+
+
+async def served_by(house, process, worker):
+    """Send requests once this process serves; return how many of them a worker received."""
+    await process.wait_until_listening()
+    seen = len(worker.received)
+    for _ in range(20):
+        client = Client(*await asyncio.open_connection("127.0.0.1", house.port))
+        assert (await client.fetch("write")).status == 200
+    return len(worker.received) - seen
+
+
+# Guards against: an OFFLINE that the old process answered ok after it had sent its state was unknown to the new one.
+def test_a_call_to_the_old_process_before_the_new_one_serves_holds_in_the_new_one():
+    async def scenario():
+        worker, other = FakeWorker("w"), FakeWorker("v")
+        async with restart_with_silent_discovery(worker, other) as (house, old, new):
+            assert (await old.call("OFFLINE w")).startswith("ok ")
+            assert await served_by(house, new, worker) == 0
+            assert (await new.call("ONLINE w")).startswith("ok ")
+
+    run(scenario())
+
+
+# Guards against: the same for an operator's drain, and for its end.
+@pytest.mark.parametrize("calls", [("LEAVE",), ("LEAVE", "JOIN")])
+def test_a_drain_of_the_old_process_before_the_new_one_serves_holds_in_the_new_one(calls):
+    async def scenario():
+        async with restart_with_silent_discovery(FakeWorker("w")) as (house, old, new):
+            for call in calls:
+                assert (await old.call(call)).startswith("ok ")
+            await new.wait_until_listening()
+            old.process.send_signal(signal.SIGTERM)
+            assert await old.process.wait() == 0
+            answer_line = await new.call("HEALTH")
+            assert answer_line.startswith("ok " if calls[-1] == "JOIN" else "fail sending clients away")
+
+    run(scenario())
+
+
+# Guards against: a call answered by the new process before it served was unknown to the old one, which may go on.
+def test_calls_to_the_new_process_before_it_serves_hold_in_the_old_one_that_goes_on():
+    async def scenario():
+        worker, other = FakeWorker("w"), FakeWorker("v")
+        async with restart_with_silent_discovery(worker, other) as (house, old, new):
+            while not (await new.call("OFFLINE w")).startswith("ok "):  # until it has read the state
+                pass
+            assert (await new.call("LEAVE")).startswith("ok ")
+            await old.wait_for_log("sending clients away")
+            new.process.kill()
+            await old.wait_for_log("this process goes on")
+            assert (await old.call("HEALTH")) == "fail sending clients away"
+            assert await served_by(house, old, worker) == 0
+
+    run(scenario())
+
+
+# Guards against: a worker that only the old process knew was taken out there, and the new one was told of it later.
+def test_a_worker_listed_after_the_state_was_sent_can_be_taken_out_at_the_old_process():
+    async def scenario():
+        worker, late = FakeWorker("w"), await FakeWorker("late").start()
+        async with restart_with_silent_discovery(worker) as (house, old, new):
+            house.discovery.entries.append(late.entry())
+            house.discovery.change(late.entry())
+            while not (await old.call("OFFLINE late")).startswith("ok "):  # until it is listed
+                pass
+            house.discovery.unresponsive = False
+            assert await served_by(house, new, late) == 0
+            assert (await new.call("ONLINE late")).startswith("ok ")
+
+    run(scenario())
+
+
+# Guards against: a drain that discovery told the old process after it had sent its state was unknown to the new one.
+def test_a_list_update_that_only_the_old_process_gets_holds_in_the_new_one():
+    async def scenario():
+        worker = FakeWorker("w")
+        async with restart_with_silent_discovery(worker) as (house, old, new):
+            house.discovery.change(worker.entry(status="draining"))
+            await new.wait_for_log("serving by the last known list")
+            await new.wait_until_listening()
+            client = Client(*await asyncio.open_connection("127.0.0.1", house.port))
+            assert (await client.fetch("read", timeout="0.5")).status != 200
+            assert not worker.received
+
+    run(scenario())
+
+
 @pytest.mark.parametrize("failure", ["killed", "other name", "garbage"])
 def test_if_the_new_process_fails_the_old_one_continues(failure):
     async def scenario():
