Count a latency below the clock's resolution as 1 ms in a worker's slow-start limit

Callers got 500 to the request after: the event loop's clock has milliseconds, a fast response counts as 0 s, and Fleet._is_within_slow_start_limit divided by the shortest usual latency. The demand report for planners divided by it too.

Change: Fleet.single_core_rate stands for both divisions and counts less than 1 ms as 1 ms.

Measured: the listed test (test_fleet) and a new one for the demand report fail on the text before with ZeroDivisionError and pass now.

--- a/micagate/demand_reports.py
+++ b/micagate/demand_reports.py
@@ -28,7 +28,7 @@
         workers,
         fleet.workload,
         fleet.warm_worker_rate(now) * elapsed,
-        1.0 / fleet.shortest_usual_latency,
+        fleet.single_core_rate(),
         gateway_count,
     )
 
--- a/micagate/fleet.py
+++ b/micagate/fleet.py
@@ -29,6 +29,7 @@
 # In a fleet of more workers than SAMPLE_SIZE, a choice compares a sample of that size. If none of it can take the
 # request, up to MAX_SAMPLES samples are drawn in all.
 SAMPLE_SIZE, MAX_SAMPLES = 16, 3
+LATENCY_RESOLUTION_SECONDS = 0.001  # of the event loop's clock: a shorter latency can be measured as 0
 STALL_FACTOR = 4.0  # multiple of the usual latency after which an unanswered attempt counts as stalled
 THROUGHPUT_WINDOW_SECONDS = 2.0  # time constant of the exponential average of the fleet's throughput
 # Share of the latency objective: a request whose expected latency is above it is rejected as likely to be late, if
@@ -170,6 +171,10 @@
             return False
         return not self._is_stalled(now, worker)
 
+    def single_core_rate(self) -> float:
+        """Return how many requests a second one core serves at the shortest latency known; 0 while none is known."""
+        return 1.0 / max(self.shortest_usual_latency, LATENCY_RESOLUTION_SECONDS)
+
     def _is_within_slow_start_limit(self, now: float, worker: Worker) -> bool:
         """Return whether this gateway may send one more attempt to a worker, given the limit of its slow start.
 
@@ -193,7 +198,7 @@
             (self._settings.overload_factor - 1)
             * warm_up_factor
             * self._settings.fall_time
-            / self.shortest_usual_latency
+            * self.single_core_rate()
             / divisor
         )
         if divisor > self.gateway_count:
--- a/tests/decisions/test_fleet.py
+++ b/tests/decisions/test_fleet.py
@@ -1,5 +1,6 @@
 """Worker health and worker selection of `micagate/fleet.py`."""
 
+import math
 from collections import Counter
 
 from micagate import interface
@@ -214,3 +215,11 @@
         assert [action.known for action in results if isinstance(action, interface.MaintenanceResult)] == [True]
     _, actions = driver.send_request(after=0.01)
     assert len(actions) == 1 and isinstance(actions[0], interface.Send | interface.Refuse)
+
+
+# Guards against: the same division by zero in the demand report for planners.
+def test_demand_is_reported_after_zero_latencies():
+    driver = Driver()
+    serve(driver, 20, took=0.0)
+    (report,) = driver.give(interface.DemandQuery(), after=1.0)
+    assert report.resources and all(math.isfinite(demand.total_rate) for demand in report.resources)
