Let a planner's capacity estimate hold for responses with a latency of 0 s

A forwarder's report of responses with a total latency of 0 s and a missed request made Estimate.decide divide by zero, so that the planner raised. A latency of 0 says that there is no queue: its drain fraction is 1.

The other divisions of micagate/planning were read: their divisors have a floor or a check.

--- a/micagate/planning/pace.py
+++ b/micagate/planning/pace.py
@@ -100,14 +100,8 @@
         elif latency > QUEUE_LATENCY_RATIO * min(
             self._window_min_latency, self._previous_min_latency
         ) or rejected > QUEUE_REJECTED_FRACTION * (answered + rejected):
-            drain_fraction = max(
-                MIN_DRAIN_FRACTION,
-                math.sqrt(
-                    min(1.0, QUEUE_LATENCY_RATIO * min(self._window_min_latency, self._previous_min_latency) / latency)
-                ),
-            )
             self.capacity += (
-                max(rate * drain_fraction, MIN_FRACTION_OF_BEST * self._recent_best) - self.capacity
+                max(rate * self._drain_fraction(latency), MIN_FRACTION_OF_BEST * self._recent_best) - self.capacity
             ) * -math.expm1(-elapsed / FOLLOW_TIME_SECONDS)
         else:
             is_fast = latency < FAST_LATENCY_RATIO * min(self._window_min_latency, self._previous_min_latency)
@@ -119,6 +113,13 @@
         self._recent_best = max(self._recent_best, self.capacity)
         return self.capacity
 
+    def _drain_fraction(self, latency: float) -> float:
+        """Return the fraction of the rate at which a worker's queue drains; 1 without a latency, as there is no queue."""
+        if latency <= 0.0:
+            return 1.0
+        shortest = min(self._window_min_latency, self._previous_min_latency)
+        return max(MIN_DRAIN_FRACTION, math.sqrt(min(1.0, QUEUE_LATENCY_RATIO * shortest / latency)))
+
     def has_timed_out(self, now: float) -> bool:
         """Return whether the last report is so old that the capacity is unknown."""
         return now - self._reported_at > REPORT_TIMEOUT_SECONDS
