Give up a repeat of a keyed request that cannot arrive within its window

A keyed request with a long body was begun again within its window, arrived after it and was carried out twice; the client was told 200.

Cause: Gateway._send_further_attempt and attempt_refusal compared the window with the repeat's beginning; an attempt counts when its last byte arrives. Nothing looked again while it waited for its connection or its body was written.

Change: a repeat begins only if its body can arrive within the window, taking as long as the first attempt did until its end; one that is not written by then is given up, unsent or as an incomplete request, which does not run.

Short requests are decided as before. Cost: a long keyed request is repeated only in windows of about twice its transfer.

--- a/micagate/gateway.py
+++ b/micagate/gateway.py
@@ -355,7 +355,7 @@
             return  # a late or duplicate outcome
         for ref in attempt.timers:
             self._timers.pop(ref, None)
-        attempt.status = event.status
+        attempt.status, attempt.ended_at = event.status, now
         attempt.finish(event.took)
         self.quotas.mean_duration += (event.took - self.quotas.mean_duration) * (
             MEAN_DURATION_WEIGHT if self.quotas.mean_duration else 1.0
@@ -410,7 +410,9 @@
             if klass.effect == interface.SIDE_EFFECT:
                 return False
             if klass.effect == interface.TOKEN:
-                if now > possibly_executed.sent_at + klass.window - self._settings.tick:
+                # The last byte has to arrive within the window; this body takes as long as it took before.
+                window_end = possibly_executed.sent_at + klass.window - self._settings.tick
+                if now + possibly_executed.arrival_seconds(now) > window_end:
                     return False
                 zone = possibly_executed.zone if klass.group == "zone" else None
                 cell = possibly_executed.cell if klass.group == "cell" else None
--- a/micagate/invariants.py
+++ b/micagate/invariants.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import enum
+import math
 from collections.abc import Sequence
 from dataclasses import dataclass
 
@@ -63,8 +64,10 @@
 class EarlierAttempt:
     """An earlier attempt of a request that is about to be sent again."""
 
-    sent_at: float  # seconds on the caller's clock
+    sent_at: float  # of its last byte, seconds on the caller's clock
     status: str | None  # a status of `interface`; None while in flight
+    # Seconds from its last byte to its end, if the body was streamed: the worker may have read that byte as late.
+    read_lag_seconds: float = 0.0
 
     @property
     def may_have_run(self) -> bool:
@@ -112,12 +115,20 @@
     A request with side effects may be sent again only if no attempt can have been executed, or while the workers
     discard duplicates by its token.
     """
-    if effect == interface.PURE:
-        return None
+    repeat_until = repeat_deadline(effect, window_seconds, earlier)
+    return None if repeat_until is None or now <= repeat_until else Reason.REPEAT_MAY_RUN_TWICE
+
+
+def repeat_deadline(effect: str, window_seconds: float, earlier: Sequence[EarlierAttempt]) -> float | None:
+    """Return the time until which the last byte of a further attempt may be written; None without a limit.
+
+    It has to arrive while the workers still discard duplicates of the first attempt that may have run, also if it is
+    read as late as that one was.
+    """
     first = next((attempt for attempt in earlier if attempt.may_have_run), None)
-    if first is None or effect == interface.TOKEN and now <= first.sent_at + window_seconds:
+    if effect == interface.PURE or first is None:
         return None
-    return Reason.REPEAT_MAY_RUN_TWICE
+    return first.sent_at + window_seconds - first.read_lag_seconds if effect == interface.TOKEN else -math.inf
 
 
 def write_refusal(attempt: AttemptState, endpoint: EndpointState) -> Reason | None:
--- a/micagate/pending.py
+++ b/micagate/pending.py
@@ -19,7 +19,9 @@
         "zone",
         "cell",
         "klass",
+        "begun_at",
         "sent_at",
+        "ended_at",
         "status",
         "overload_signalled",
         "account",
@@ -32,12 +34,21 @@
         self, entry: interface.WorkerEntry, klass: interface.RequestClass, sent_at: float, pending: Pending
     ) -> None:
         self.worker, self.zone, self.cell = entry.worker, entry.zone, entry.cell
-        self.klass, self.sent_at, self.account = klass, sent_at, pending.account
+        self.klass, self.account = klass, pending.account
+        # The first byte and the last one, which is later where the body is streamed.
+        self.begun_at = self.sent_at = sent_at
+        self.ended_at: float | None = None
         self.pending = pending  # stays set when the request has ended before the attempt
         self.status, self.overload_signalled = "", False  # at most one overload signal is recorded for an attempt
         self.timers: list[int] = []
         self.holds_slot = True  # whether it counts against its customer's concurrency limit
 
+    def arrival_seconds(self, now: float) -> float:
+        """Return the time that the request took at most to arrive at the worker, 0 for a body that is not streamed."""
+        if self.pending.request.complete:
+            return 0.0
+        return (now if self.ended_at is None else self.ended_at) - self.begun_at
+
     def finish(self, took: float) -> None:
         """Release the concurrency slot and add the duration, `took` seconds, to the customer's mean."""
         self.release_slot()
--- a/micagate/planning/pace.py
+++ b/micagate/planning/pace.py
@@ -114,7 +114,7 @@
         return self.capacity
 
     def _drain_fraction(self, latency: float) -> float:
-        """Return the fraction of the rate at which a worker's queue drains; 1 without a latency, as there is no queue."""
+        """Return the fraction of the rate at which a queue drains; 1 at a latency of 0, where there is no queue."""
         if latency <= 0.0:
             return 1.0
         shortest = min(self._window_min_latency, self._previous_min_latency)
--- a/oliveloft/backend/attempt.py
+++ b/oliveloft/backend/attempt.py
@@ -43,11 +43,13 @@
         "body",
         "deadline",
         "started_at",
+        "ended_at",
         "on_end",
         "state",
         "status",
         "connection",
         "timer",
+        "repeat_timer",
         "on_response",
         "on_written",
         "response_started_at",
@@ -74,6 +76,8 @@
         self.status: str | None = None  # a status of `interface`, once the attempt has ended
         self.connection: Connection | None = None
         self.timer: asyncio.TimerHandle | None = None
+        self.repeat_timer: asyncio.TimerHandle | None = None  # ends a repeat that is not written in time
+        self.ended_at: float | None = None  # loop time
 
     @property
     def done(self) -> bool:
@@ -89,6 +93,9 @@
         if self.timer is not None:
             self.timer.cancel()
             self.timer = None
+        if self.repeat_timer is not None:
+            self.repeat_timer.cancel()
+            self.repeat_timer = None
         self.on_end(self, status, response)
 
     def cancel(self, status: str) -> None:
@@ -107,6 +114,13 @@
             self.connection.attempt = None
         self.finish(interface.NOT_SENT)
 
+    def give_up_unless_written(self) -> None:
+        """End the attempt if a part of its request has not left yet, so that the worker does not run it."""
+        if self.is_unsent():
+            self.withdraw()
+        elif self.connection is not None:
+            self.connection.fail_unless_written()
+
     def is_unsent(self) -> bool:
         """Whether nothing of the attempt has been written: its connection is still being established."""
         return not self.done and self.connection is not None and self.connection.transport is None
--- a/oliveloft/backend/connection.py
+++ b/oliveloft/backend/connection.py
@@ -245,6 +245,11 @@
         """Fail a stalled attempt: UNREACHABLE if the worker has an incomplete request, else CONNECTION_RESET."""
         self._fail(interface.UNREACHABLE if self._request_body is not None else interface.CONNECTION_RESET)
 
+    def fail_unless_written(self) -> None:
+        """End the attempt if a part of its request is still here: the worker sees an incomplete one."""
+        if not self._written:
+            self._fail(interface.UNREACHABLE)
+
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; data without an attempt is an unsolicited response and closes the connection."""
         if self.attempt is None or self._parser is None:
--- a/oliveloft/dispatch/dispatcher.py
+++ b/oliveloft/dispatch/dispatcher.py
@@ -19,6 +19,7 @@
     Reason,
     RequestState,
     attempt_refusal,
+    repeat_deadline,
     reply_refusal,
 )
 from oliveloft.backend.attempt import Attempt, Response
@@ -77,6 +78,14 @@
         return not isinstance(self.body, Body) or self.body.is_replayable
 
 
+def _earlier_attempt(attempt: Attempt, now: float) -> EarlierAttempt:
+    """What the rules for a further attempt need to know of an earlier one."""
+    if not isinstance(attempt.body, Body):
+        return EarlierAttempt(attempt.started_at, attempt.status)
+    ended_at = now if attempt.ended_at is None else attempt.ended_at
+    return EarlierAttempt(attempt.started_at, attempt.status, ended_at - attempt.started_at)
+
+
 class RequestDispatcher:
     """Passes events to the gateway and executes its actions on the connection pool, the counter and the clients.
 
@@ -358,6 +367,8 @@
             self.guard.refuse(refusal, "send", id=name, attempt=attempt.number, state=request.state.value)
             attempt.finish(interface.NOT_SENT)
             return
+        if (repeat_until := self._repeat_deadline(request, now)) is not None:
+            attempt.repeat_timer = self._loop.call_at(repeat_until, attempt.give_up_unless_written)
         if 0 < within < request.deadline - now:
             attempt.deadline = now + within
             attempt.timer = self._loop.call_later(within, attempt.cancel, interface.TIMED_OUT)
@@ -368,12 +379,19 @@
     def _attempt_refusal(self, request: Request, now: float) -> Reason | None:
         """The reason why a further attempt of a request is not allowed, or None."""
         klass = self._classes[request.event.klass]
-        earlier = [EarlierAttempt(attempt.started_at, attempt.status) for attempt in request.attempts]
+        earlier = [_earlier_attempt(attempt, now) for attempt in request.attempts]
         deadline = None if request.state is RequestState.ARRIVING else request.deadline
         return attempt_refusal(request.state, deadline, now, klass.effect, klass.window, earlier, self._attempt_limits)
 
+    def _repeat_deadline(self, request: Request, now: float) -> float | None:
+        """The time until which the attempt that was added last has to be written, or None."""
+        klass = self._classes[request.event.klass]
+        earlier = [_earlier_attempt(attempt, now) for attempt in request.attempts[:-1]]
+        return repeat_deadline(klass.effect, klass.window, earlier) if earlier else None
+
     def _attempt_ended(self, attempt: Attempt, status: str, response: Response | None) -> None:
         """Handle the end of an attempt: reply to the client with the first success, and report to the gateway."""
+        attempt.ended_at = self._loop.time()
         request = self._requests[attempt.request]
         request.in_flight -= 1
         if status == interface.SUCCESS and response is not None and not request.is_over:
--- a/tests/decisions/test_long_bodies.py
+++ b/tests/decisions/test_long_bodies.py
@@ -135,3 +135,13 @@
         used_workers.add(worker)
         gateway.handle(5.005 + n / 100, Outcome(name, 0, worker, interface.SUCCESS, terminal=True, took=0.005))
     assert slow_worker in used_workers
+
+
+# Guards against: a repeat of a long keyed request arrived after its window, and its effect happened twice.
+@pytest.mark.parametrize(("upload_seconds", "kind"), [(4.0, Send), (4.8, Fail)])
+def test_a_keyed_request_is_repeated_only_if_its_body_can_arrive_within_the_window(upload_seconds, kind):
+    gateway = new_gateway()
+    worker = send_incomplete_request(gateway, 0.0, klass="keyed")
+    gateway.handle(upload_seconds, RequestComplete("r"))
+    actions = gateway.handle(upload_seconds + 0.3, Outcome("r", 0, worker, interface.FAILURE, False, took=0.3))
+    assert [type(action) for action in actions if isinstance(action, Send | Fail)] == [kind]
--- a/tests/gatekeeper/test_dispatcher.py
+++ b/tests/gatekeeper/test_dispatcher.py
@@ -15,7 +15,11 @@
 from oliveloft.shared_types import DiscoveryUpdate
 from rig.fake_servers import FakeWorker, answer, hang, run, until
 
-CLASSES = (interface.RequestClass("write", 1.0, 4.0, interface.SIDE_EFFECT), interface.RequestClass("read", 1.0, 4.0))
+CLASSES = (
+    interface.RequestClass("write", 1.0, 4.0, interface.SIDE_EFFECT),
+    interface.RequestClass("read", 1.0, 4.0),
+    interface.RequestClass("keyed", 1.0, 4.0, interface.TOKEN, window=0.1),
+)
 SETTINGS = interface.Settings(CLASSES, (interface.Plan("free"),), max_attempts=2)
 
 
@@ -404,6 +408,43 @@
         self.aborted = True
 
 
+# Guards against: a repeat of a keyed request was written, or completed, when the window was over.
+@pytest.mark.parametrize(("connected", "status"), [(False, interface.NOT_SENT), (True, interface.UNREACHABLE)])
+def test_a_repeat_that_is_not_written_by_the_end_of_its_window_is_given_up(connected, status):
+    async def scenario():
+        def rules(event):
+            if isinstance(event, interface.Request):
+                return [interface.Send("r", "w")]
+            is_failure = isinstance(event, interface.Outcome) and event.status == interface.FAILURE
+            return [interface.Send("r", "v")] if is_failure else []
+
+        case = Case(rules)
+        workers = FakeWorker("w"), FakeWorker("v")
+        for worker in workers:
+            worker.port = 9  # never connected to
+        case.update_workers(*workers)
+        connections: list[Connection] = []
+
+        async def connect(connection):
+            connections.append(connection)
+
+        case.pool._connect = connect
+        case.submit(klass="keyed")
+        await until(lambda: connections)
+        connections[0].connection_made(Transport())
+        connections[0].resume_writing()
+        connections[0].data_received(b"HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n")
+        await until(lambda: connections[1:])
+        transport = Transport()
+        if connected:
+            connections[1].connection_made(transport)  # its write buffer never empties
+        await until(lambda: len(case.gateway.outcomes()) == 2)
+        assert case.gateway.outcomes() == [(0, interface.FAILURE, False), (1, status, False)]
+        assert transport.aborted == connected
+
+    run(scenario())
+
+
 @pytest.mark.parametrize(("all_sent", "status"), [(False, interface.UNREACHABLE), (True, interface.CONNECTION_RESET)])
 def test_a_connection_lost_before_the_last_byte_was_sent_proves_that_the_request_did_not_run(all_sent, status):
     async def scenario():
