Look for a client's close before each of its requests is begun

Cause: a request is begun when its bytes are read, before the loop reports the close behind them; the close was looked for only while reading was paused. Evidence: a process stopped while a client writes and closes sends the request on.

Measured: the new test, with FIN and with RST, fails on the text before and passes now.

--- a/oliveloft/front/http.py
+++ b/oliveloft/front/http.py
@@ -391,11 +391,8 @@
             self._transport.resume_reading()
 
     def _peer_closed(self) -> bool:
-        """Whether the client has closed the connection while reading is paused.
-
-        Polls the socket: POLLRDHUP is reported even if unread data precedes the close.
-        """
-        return self._read_paused and poll_socket(self._transport, select.POLLRDHUP)
+        """Whether the client has closed the connection, also if that or data before it is not read yet."""
+        return poll_socket(self._transport, select.POLLRDHUP)
 
     def on_message_complete(self) -> None:
         """Queue a complete request and serve it, or complete one that was dispatched while it was received."""
@@ -682,7 +679,7 @@
         waited_seconds = now - self.waiting_since
         if self._transport is None or self.lingering:
             return
-        if self._peer_closed():
+        if self._read_paused and self._peer_closed():
             self._transport.abort()
             return
         if self._write_paused or self._budgeted_bytes:
--- a/tests/endings/test_client_disconnects.py
+++ b/tests/endings/test_client_disconnects.py
@@ -1,6 +1,7 @@
 """Clients that disconnect while their request waits: it reaches no worker, and its quota is returned."""
 
 import asyncio
+import signal
 import socket
 import struct
 
@@ -16,6 +17,7 @@
     answer,
     count_tcp_connections,
     hang,
+    reuse_delay_over,
     run,
     running_gatekeeper,
     until,
@@ -62,6 +64,30 @@
     run(scenario())
 
 
+# Guards against: requests that waited while the process was held up were sent on after their client had left.
+@pytest.mark.parametrize("how", ["FIN", "RST"])
+def test_a_request_whose_client_left_before_it_was_read_is_not_sent(how):
+    async def scenario():
+        worker = FakeWorker("w")
+        async with running_gatekeeper(worker) as (gatekeeper, _, client):
+            assert (await client.fetch("write", id="first")).status == 200
+            await reuse_delay_over()  # a connection to the worker stands ready
+            known = await gatekeeper.client()
+            assert (await known.fetch("write", id="second")).status == 200
+            await reuse_delay_over()
+            gatekeeper.process.send_signal(signal.SIGSTOP)
+            for one in (known, await gatekeeper.client()):  # on a known and on a new connection
+                one.send(one.request("write", id="left"))
+                await one.writer.drain()
+                disconnect(one, how)
+            gatekeeper.process.send_signal(signal.SIGCONT)
+            assert (await client.fetch("write", id="stays")).status == 200
+            await until(lambda: count_close_wait(gatekeeper.port) == 0)
+            assert [message.id for message in worker.received] == ["first", "second", "stays"]
+
+    run(scenario())
+
+
 @pytest.mark.parametrize("how", ["FIN", "RST"])
 def test_a_disconnect_while_reading_is_paused_drops_the_queued_requests(how):
     async def scenario():
