Look for a client's close before an event that may lead to a further attempt

Cause: while reading from a client is paused, the event loop does not report its close, which is looked for each 0.25 s.

Change: the dispatcher looks for it when an attempt has failed and when a timer of the gateway fires.

Measured: the new case of the dispatcher fails always on the text before and passes now.

--- a/oliveloft/dispatch/dispatcher.py
+++ b/oliveloft/dispatch/dispatcher.py
@@ -334,7 +334,16 @@
     def _counter_answered(self, result: interface.CounterResult) -> None:
         self._handle_event(result, "")
 
+    def _end_if_client_left(self, request: Request | None) -> None:
+        """End a request whose client's close is not reported yet, before an event that may lead to a further attempt.
+
+        While reading from the client is paused, the event loop does not report a close.
+        """
+        if request is not None and not request.is_over and request.sink is not None and request.sink.peer_closed():
+            self.client_disconnected(request)
+
     def _timer_fired(self, ref: int, request_id: str) -> None:
+        self._end_if_client_left(self._requests.get(request_id))
         self._handle_event(interface.TimerFired(ref), request_id)
 
     def _send(self, name: str, worker: str, within: float) -> None:
@@ -394,7 +403,9 @@
         attempt.ended_at = self._loop.time()
         request = self._requests[attempt.request]
         request.in_flight -= 1
-        if status == interface.SUCCESS and response is not None and not request.is_over:
+        if status != interface.SUCCESS:
+            self._end_if_client_left(request)
+        elif response is not None and not request.is_over:
             self._reply(request, 200, b"".join(response.headers), response.body)
         outcome = interface.Outcome(
             request=attempt.request,
--- a/oliveloft/front/http.py
+++ b/oliveloft/front/http.py
@@ -390,7 +390,7 @@
         if self._transport is not None:
             self._transport.resume_reading()
 
-    def _peer_closed(self) -> bool:
+    def peer_closed(self) -> bool:
         """Whether the client has closed the connection, also if that or data before it is not read yet."""
         return poll_socket(self._transport, select.POLLRDHUP)
 
@@ -451,7 +451,7 @@
             and not (self._busy or self._write_paused or self._final_reply_sent)
             and self._transport is not None
         ):
-            if self._peer_closed():
+            if self.peer_closed():
                 self._transport.abort()  # the queued requests have no client any more
                 return
             incoming = self._queue.popleft()
@@ -679,7 +679,7 @@
         waited_seconds = now - self.waiting_since
         if self._transport is None or self.lingering:
             return
-        if self._read_paused and self._peer_closed():
+        if self._read_paused and self.peer_closed():
             self._transport.abort()
             return
         if self._write_paused or self._budgeted_bytes:
--- a/oliveloft/shared_types.py
+++ b/oliveloft/shared_types.py
@@ -49,6 +49,9 @@
     def end(self) -> None:
         """The response is complete."""
 
+    def peer_closed(self) -> bool:
+        """Whether the client has closed its connection, also if that is not reported yet."""
+
     def abort_response(self) -> None:
         """The response cannot be completed: make that visible to the client."""
 
--- a/tests/endings/test_client_disconnects.py
+++ b/tests/endings/test_client_disconnects.py
@@ -122,6 +122,28 @@
     run(scenario())
 
 
+# Guards against: a retry was sent for a client that had left while reading from it was paused.
+def test_a_failed_attempt_is_not_retried_for_a_client_that_left_while_reading_is_paused():
+    async def scenario():
+        workers, go = (FakeWorker("v"), FakeWorker("w")), asyncio.Event()
+        for worker in workers:
+            worker.script = after_event(go, answer(500))
+        async with running_gatekeeper(*workers) as (gatekeeper, _, client):
+            clients = [await gatekeeper.client() for _ in range(10)]
+            for one in clients:
+                one.send(b"".join(one.request("read", timeout="3.9") for _ in range(40)))
+            await until(lambda: sum(len(worker.received) for worker in workers) == len(clients))
+            for one in clients:
+                one.writer.close()
+            await until(lambda: count_tcp_connections(gatekeeper.port, "04", local=False) == 0)
+            go.set()
+            await until(lambda: count_close_wait(gatekeeper.port) == 0)
+            await gatekeeper.health()
+            assert sum(len(worker.received) for worker in workers) == len(clients)
+
+    run(scenario())
+
+
 @pytest.mark.parametrize("klass", ["read", "write"])
 def test_a_request_that_a_worker_has_completely_runs_to_its_end_and_its_connection_is_reused(klass):
     async def scenario():
--- a/tests/gatekeeper/test_dispatcher.py
+++ b/tests/gatekeeper/test_dispatcher.py
@@ -64,12 +64,17 @@
             )
         )
 
-    def submit(self, name: str = "r", time_left: float = 3.0, klass: str = "write") -> Request:
+    def submit(self, name: str = "r", time_left: float = 3.0, klass: str = "write", sink: object = None) -> Request:
         """Submit a request."""
         event = interface.Request(name, klass, "free", "c", time_left)
         head = b"POST / HTTP/1.1\r\nX-Request-ID: r\r\nContent-Length: 0\r\n"
         return self.dispatcher.submit(
-            event, head, b"", self.loop.time() + time_left, lambda status, headers, body: self.replies.append(status)
+            event,
+            head,
+            b"",
+            self.loop.time() + time_left,
+            lambda status, headers, body: self.replies.append(status),
+            sink,
         )
 
 
@@ -299,6 +304,30 @@
     run(scenario())
 
 
+# Guards against: a further attempt was sent for a client whose close the event loop had not reported yet.
+def test_no_further_attempt_follows_for_a_client_that_has_left():
+    async def scenario():
+        class Sink:
+            def peer_closed(self):
+                return True
+
+        def rules(event):
+            if isinstance(event, interface.Request):
+                return [interface.Send("r", "w")]
+            is_open = isinstance(event, interface.Outcome) and not event.terminal
+            return [interface.Send("r", "v")] if is_open else []
+
+        worker, other = await FakeWorker("w", answer(500)).start(), await FakeWorker("v").start()
+        case = Case(rules)
+        case.update_workers(worker, other)
+        case.submit(klass="read", sink=Sink())
+        await until(lambda: not case.dispatcher.has_request("r"))
+        assert case.gateway.outcomes() == [(0, interface.FAILURE, True)]
+        assert not other.received and not case.replies
+
+    run(scenario())
+
+
 def test_a_request_that_the_gateway_never_ends_is_answered_at_its_deadline():
     async def scenario():
         case = Case(lambda event: [])
