--- a/tests/decisions/test_fleet.py
+++ b/tests/decisions/test_fleet.py
@@ -5,6 +5,7 @@
 
 from micagate import interface
 from micagate.estimates.tails import LateAttempts
+from micagate.resource_keys import worker_key
 from rig.driver import Driver, record_missed_objectives, sends, workers
 
 
@@ -221,5 +222,8 @@
 def test_demand_is_reported_after_zero_latencies():
     driver = Driver()
     serve(driver, 20, took=0.0)
+    for out in (True, False):  # a worker in slow start is in the report
+        driver.give(interface.SetMaintenance("w0", out), after=1.0)
     (report,) = driver.give(interface.DemandQuery(), after=1.0)
-    assert report.resources and all(math.isfinite(demand.total_rate) for demand in report.resources)
+    assert [demand.key for demand in report.resources] == [worker_key("w0")]
+    assert all(math.isfinite(demand.total_rate) for demand in report.resources)
--- a/tests/endings/test_late_responses.py
+++ b/tests/endings/test_late_responses.py
@@ -19,6 +19,10 @@
     return b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" + request_id.encode()
 
 
+async def respond(request, writer):
+    writer.write(response(request.id))
+
+
 class PoolClient:
     """Sends requests over a pool to one worker, `w`, and keeps their outcomes."""
 
@@ -70,9 +74,6 @@
 
 def test_a_connection_is_reused_when_the_delay_after_its_response_is_over_and_not_before():
     async def scenario():
-        async def respond(request, writer):
-            writer.write(response(request.id))
-
         worker = await FakeWorker("w", respond).start()
         client = PoolClient(worker.entry())
         client.workers.reuse_delay_seconds = 60.0
@@ -90,9 +91,6 @@
 
 def test_at_the_connection_limit_a_connection_is_closed_rather_than_reused_too_soon():
     async def scenario():
-        async def respond(request, writer):
-            writer.write(response(request.id))
-
         worker = await FakeWorker("w", respond).start()
         client = PoolClient(worker.entry(), connection_limit=1)
         client.workers.reuse_delay_seconds = 60.0
@@ -173,9 +171,6 @@
 # Guards against: a connection taken over from another process was reused at once, with a second response on its way.
 def test_a_connection_taken_over_is_not_reused_before_the_delay_is_over():
     async def scenario():
-        async def respond(request, writer):
-            writer.write(response(request.id))
-
         worker = await FakeWorker("w", respond).start()
         client = PoolClient(worker.entry())
         client.workers.reuse_delay_seconds = 60.0
