Give simulated sockets a descriptor that poll(2) accepts

Change: the simulated socket gives a descriptor on which nothing happens; the simulated transport reports closes as before.

--- a/rig/loops.py
+++ b/rig/loops.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import socket
 from collections.abc import Callable
 from typing import Any
 
@@ -35,13 +36,17 @@
         return self.clock.at(when, call, *args)
 
 
+# A connected pair on which nothing is ever sent or closed: what a simulated socket reports to poll(2).
+_QUIET_SOCKETS = socket.socketpair()
+
+
 class _Socket:
     def setsockopt(self, *_: object) -> None:
         """Ignore the option."""
 
     def fileno(self) -> int:
-        """Return no descriptor."""
-        return -1
+        """Return a descriptor that reports no event: closes are reported by the simulated transport."""
+        return _QUIET_SOCKETS[0].fileno()
 
 
 class SimulatedTransport:
