--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,10 +1,15 @@
-"""Clients of one customer take seconds to send long bodies; the units of its hard ceiling against what workers get."""
+"""Long answers in small pieces, to clients that take seconds to read: the gatekeeper's memory against its limit.
+
+The stand-in for the platform kills the gatekeeper when its resident memory is over `limits.memory_mb`.
+"""
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
 import pathlib
+import signal
+import socket
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
@@ -13,84 +18,103 @@
     BROKEN,
     HELD,
     TROUBLE,
-    CannotRun,
     Discovery,
     Gatekeeper,
+    Message,
     Record,
     Worker,
     head,
-    read_message,
     run_case,
     settings,
 )
 
-GATEKEEPERS = 2  # all of the customer's set
-RATE, DEPTH, SLACK = 14.0, 18.0, 2.0  # HardRate, CapDepth, CapSlack of `enterprise`
-SLACK_SECONDS = 0.15  # "its slack is wider by what the ceiling's rate gives in 150 ms"
-BODY_BYTES, AT_ONCE_BYTES = 1500 * 1024, 1100 * 1024
-PIECE_BYTES, PIECE_SECONDS = 16 * 1024, 0.25  # the slow part: 64 kB a second
-START_SECONDS, UPLOADS_PER_SECOND = 5.0, 10
-LAST_PIECE_AT = 6.0  # after the first upload began
-
-
-async def upload(number: int, port: int, begins: float, started: float, record: Record) -> None:
-    """Send an upload, slowly with the trouble on, and read the answer."""
-    loop, request_id = asyncio.get_running_loop(), f"upload-{number}"
-    await asyncio.sleep(started + begins - loop.time())
-    reader, writer = await asyncio.open_connection("127.0.0.1", port)
-    record.write(f"client sends {request_id} to port {port}")
-    answer = asyncio.create_task(read_message(reader, record.now))
-    with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
-        writer.write(head(request_id, "file-message", "enterprise", length=BODY_BYTES, spread=GATEKEEPERS))
-        sent = AT_ONCE_BYTES if TROUBLE else BODY_BYTES
-        writer.write(bytes(sent))
-        while sent < BODY_BYTES - PIECE_BYTES and loop.time() < started + LAST_PIECE_AT and not answer.done():
-            await asyncio.sleep(PIECE_SECONDS)
-            writer.write(bytes(PIECE_BYTES))
-            sent += PIECE_BYTES
-        while loop.time() < started + LAST_PIECE_AT and TROUBLE and not answer.done():
+MEMORY_MB = 192  # the most that the pages give a gatekeeper
+CLIENTS, ANSWER_BYTES = 4, 8 * 1024 * 1024
+PIECE_BYTES = 24 if TROUBLE else 32 * 1024  # of the chunks of an answer
+READ_AFTER_SECONDS = 6.0 if TROUBLE else 0.0
+
+
+async def answer_in_pieces(message: Message, writer: asyncio.StreamWriter) -> bool:
+    """Answer with chunks of PIECE_BYTES."""
+    writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+    chunk = b"%x\r\n%b\r\n" % (PIECE_BYTES, b"y" * PIECE_BYTES)
+    at_once = max(1, 32 * 1024 // PIECE_BYTES)
+    for _ in range(ANSWER_BYTES // PIECE_BYTES // at_once):
+        writer.write(chunk * at_once)
+        await writer.drain()
+    writer.write(b"0\r\n\r\n")
+    await writer.drain()
+    return True
+
+
+async def client(number: int, port: int, record: Record) -> bool:
+    """Ask, read the first bytes at once and the rest seconds later; return whether the answer came to its end."""
+    loop, request_id = asyncio.get_running_loop(), f"long-answer-{number}"
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 64 * 1024)
+    sock.setblocking(False)
+    size, tail = 0, b""
+    with contextlib.suppress(OSError):
+        await loop.sock_connect(sock, ("127.0.0.1", port))
+        record.write(f"client sends {request_id}")
+        await loop.sock_sendall(sock, head(request_id))
+        data = await loop.sock_recv(sock, 1024)
+        record.write(f"client has the first bytes of the answer to {request_id}: {data[:15]!r}")
+        await asyncio.sleep(READ_AFTER_SECONDS)
+        size, tail = len(data), data[-5:]
+        while not tail.endswith(b"0\r\n\r\n") and (data := await loop.sock_recv(sock, 256 * 1024)):
+            size, tail = size + len(data), (tail + data)[-5:]
+    sock.close()
+    record.write(f"client has {size} bytes of the answer to {request_id}, which end with {tail!r}")
+    return tail.endswith(b"0\r\n\r\n")
+
+
+def resident_kb(pid: int) -> int:
+    """The resident memory of a process in kB; 0 once it has ended."""
+    with contextlib.suppress(OSError):
+        for line in pathlib.Path(f"/proc/{pid}/status").read_text().splitlines():
+            if line.startswith("VmRSS:"):
+                return int(line.split()[1])
+    return 0
+
+
+async def platform(gatekeeper: Gatekeeper, record: Record) -> bool:
+    """Kill the gatekeeper when it is over its memory limit, and return True; False where that takes too long."""
+    assert gatekeeper.process is not None
+    highest = 0
+    try:
+        while True:
+            highest = max(highest, resident_kb(gatekeeper.process.pid))
+            if highest > MEMORY_MB * 1024:
+                record.write(f"the gatekeeper has {highest} kB of resident memory, its limit is {MEMORY_MB * 1024} kB")
+                gatekeeper.signal(signal.SIGKILL)
+                return True
             await asyncio.sleep(0.02)
-        writer.write(bytes(BODY_BYTES - sent))
-        record.write(f"answer to {request_id}: {(await asyncio.wait_for(answer, 10)).first}")
-    answer.cancel()
-    writer.close()
+    finally:
+        record.write(f"highest resident memory {highest} kB")
 
 
 async def case(record: Record) -> int:
     """Run the case."""
     workers = [Worker(f"s-{n}", record) for n in range(4)]
     for worker in workers:
+        worker.behave = answer_in_pieces
         await worker.start()
-    gatekeepers = []
+    discovery = Discovery(workers, record)
+    await discovery.start()
+    gatekeeper = Gatekeeper(record, discovery.port, settings(), {"memory_mb": MEMORY_MB, "sockets": 1024})
     try:
-        for number in range(GATEKEEPERS):
-            discovery = Discovery(workers, record)
-            await discovery.start()
-            config = settings(NInstances=GATEKEEPERS, Index=number)
-            gatekeepers.append(Gatekeeper(record, discovery.port, config, name=f"n{number}"))
-            await gatekeepers[-1].start()
-        await asyncio.sleep(4.0)  # the ceiling of a new process fills from its start
-        started = asyncio.get_running_loop().time()
-        await asyncio.gather(
-            *(
-                upload(n, gatekeepers[n % GATEKEEPERS].port, n / UPLOADS_PER_SECOND, started, record)
-                for n in range(int(START_SECONDS * UPLOADS_PER_SECOND))
-            )
-        )
+        await gatekeeper.start()
+        watch = asyncio.create_task(platform(gatekeeper, record))
+        results = await asyncio.gather(*(client(n, gatekeeper.port, record) for n in range(CLIENTS)))
+        killed = watch.done()
+        watch.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await watch
     finally:
-        for gatekeeper in gatekeepers:
-            gatekeeper.end()
-    arrivals = sorted(at for worker in workers for at, _ in worker.runs)
-    if not arrivals:
-        raise CannotRun("no upload came to a worker")
-    level, lowest, before = DEPTH, DEPTH, arrivals[0]
-    for at in arrivals:
-        level = min(DEPTH, level + (at - before) * RATE) - 1.0
-        lowest, before = min(lowest, level), at
-    allowed = -(SLACK + SLACK_SECONDS * RATE)
-    record.write(f"{len(arrivals)} uploads came whole to workers between {arrivals[0]:.3f} and {arrivals[-1]:.3f}")
-    record.write(f"lowest level of the ceiling's store {lowest:.1f} units, allowed {allowed:.1f}")
-    return BROKEN if lowest < allowed else HELD
+        gatekeeper.end()
+    record.write(f"killed for memory: {killed}; answers that came to their end: {results.count(True)} of {CLIENTS}")
+    return BROKEN if killed else HELD
 
 
 run_case(str(pathlib.Path(__file__).parent), case)
