Review case 6: a keyed request is carried out twice, its repeat read after the window

Shows, from an open risk of the incident of 2026-12-04, that a keyed request of 900 KB is carried out a second time: one of eight workers carries it out and answers 500, the repeat is passed whole to the system at once, and the next worker, which reads for 1.6 s, has its last byte after the group has forgotten the key (window 1 s).

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,14 +1,15 @@
-"""Long filings of clients, and long answers of workers, come in chunks that end with a trailer field."""
+"""A keyed request with a long body is repeated at a worker that takes seconds to read it."""
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import pathlib
+import socket
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
 
-from kit2.chunked import TRAILER, ChunkedWorker, file_message  # noqa: E402
 from kit2.stand_ins import (  # noqa: E402
     BROKEN,
     HELD,
@@ -16,42 +17,116 @@
     Discovery,
     Gatekeeper,
     Record,
+    Worker,
+    head,
+    read_head,
+    read_message,
     run_case,
     settings,
 )
 
-SHORT, LONG_FILING, LONG_ANSWER = 2 * 1024, 1536 * 1024, 128 * 1024
-# Of each kind the length of the filing and of its answer.
-KINDS = {"short": (SHORT, SHORT), "long-filing": (LONG_FILING, SHORT), "long-answer": (SHORT, LONG_ANSWER)}
-EACH = 5
+WORKERS = 8
+WINDOW_SECONDS, ALLOWED_SECONDS = 1.0, 0.05  # WindowUs; "every time limit is 50 ms longer"
+BODY_BYTES, PIECE_BYTES = 900 * 1024, 32 * 1024
+READ_SECONDS = 1.6  # that a sound worker takes to read such a body
+CLIENTS, SECONDS = 4, 25.0
+
+
+class Pod:
+    """The workers that share which keys they have seen: a repeat within the window is dropped."""
+
+    def __init__(self) -> None:
+        self.carried_out: dict[str, list[tuple[float, str]]] = {}
+        self.remembered_until: dict[str, float] = {}
+
+    def carry_out(self, key: str, worker: str, now: float) -> bool:
+        """Carry a request out, unless its key is remembered; return whether it was."""
+        if now <= self.remembered_until.get(key, -1.0):
+            return False
+        self.remembered_until[key] = now + WINDOW_SECONDS + ALLOWED_SECONDS
+        self.carried_out.setdefault(key, []).append((now, worker))
+        return True
+
+
+class PodWorker(Worker):
+    """A worker of a pod. It takes seconds to read a long body; a failing one reads at once and answers 500."""
+
+    def __init__(self, name: str, record: Record, pod: Pod, failing: bool) -> None:
+        super().__init__(name, record)
+        self.pod, self.failing = pod, failing
+
+    async def start(self) -> None:
+        """Listen with a small receive buffer."""
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 64 * 1024)
+        sock.bind(("127.0.0.1", self.port))
+        await asyncio.start_server(self._serve_pod, sock=sock, limit=64 * 1024)
+
+    async def _serve_pod(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                _, headers = await read_head(reader)
+                request_id, key = headers["x-request-id"], headers["idempotency-key"]
+                length = left = int(headers.get("content-length", "0"))
+                self.record.write(f"worker {self.name} has the head of {request_id}")
+                while left:
+                    left -= len(await reader.readexactly(min(left, PIECE_BYTES)))
+                    if not self.failing:
+                        await asyncio.sleep(READ_SECONDS * PIECE_BYTES / length)
+                done = self.pod.carry_out(key, self.name, self.record.now())
+                self.record.write(
+                    f"worker {self.name} has the last byte of {request_id}: "
+                    + ("carried out" if done else "a repeat, dropped")
+                )
+                await asyncio.sleep(self.work)
+                if self.failing:
+                    writer.write(b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n")
+                else:
+                    body = self.body(request_id)
+                    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
+                await writer.drain()
+        writer.close()
+
+
+async def client(number: int, port: int, record: Record) -> None:
+    """Send one keyed request after another and read the answers."""
+    count = 0
+    while record.now() < SECONDS:
+        request_id = f"update-{number}-{count}"
+        count += 1
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError, TimeoutError):
+            writer.write(head(request_id, "staff-update", length=BODY_BYTES) + bytes(BODY_BYTES))
+            await writer.drain()
+            answer = await asyncio.wait_for(read_message(reader, record.now), 6)
+            record.write(f"answer to {request_id}: {answer.first}")
+        writer.close()
+        await asyncio.sleep(0.1)
 
 
 async def case(record: Record) -> int:
     """Run the case."""
-    trailer = TRAILER if TROUBLE else b""
-    workers = [ChunkedWorker(f"s-{n}", record) for n in range(3)]
+    pod = Pod()
+    workers = [PodWorker(f"s-{n}", record, pod, TROUBLE and n == 0) for n in range(WORKERS)]
     for worker in workers:
-        worker.trailer = trailer
         await worker.start()
     discovery = Discovery(list(workers), record)
     await discovery.start()
-    gatekeeper = Gatekeeper(record, discovery.port, settings())
-    results = {}
+    config = settings()
+    for klass in config["Classes"]:
+        if klass["Effect"] == "token":
+            klass.update({"Group": "cell", "WindowUs": int(WINDOW_SECONDS * 1_000_000)})
+    gatekeeper = Gatekeeper(record, discovery.port, config)
     try:
         await gatekeeper.start()
-        for number in range(EACH):
-            for kind, (filing_bytes, answer_bytes) in KINDS.items():
-                name = f"{kind}-{number}"
-                for worker in workers:
-                    worker.answer_bytes = answer_bytes
-                results[name] = await file_message(name, gatekeeper.port, record, filing_bytes, trailer, answer_bytes)
-                await asyncio.sleep(0.1)
+        await asyncio.gather(*(client(n, gatekeeper.port, record) for n in range(CLIENTS)))
     finally:
         gatekeeper.end()
-    for kind in KINDS:
-        lost = [name for name, whole in results.items() if name.startswith(kind) and not whole]
-        record.write(f"{kind}: {len(lost)} of {EACH} without a whole final answer")
-    return HELD if all(results.values()) else BROKEN
+    twice = {key: runs for key, runs in pod.carried_out.items() if len(runs) > 1}
+    for key, runs in twice.items():
+        record.write(f"key {key} was carried out {len(runs)} times: {runs}")
+    record.write(f"{len(twice)} of {len(pod.carried_out)} keys were carried out more than once")
+    return BROKEN if twice else HELD
 
 
 run_case(str(pathlib.Path(__file__).parent), case)
