--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,11 +1,11 @@
-"""Discovery's answers have no length: the connection says `Connection: close`, and its end is the end of the answer."""
+"""A client takes four seconds to read a long answer, which its worker has given whole."""
 
 from __future__ import annotations
 
 import asyncio
-import contextlib
-import json
+import hashlib
 import pathlib
+import socket
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
@@ -19,87 +19,77 @@
     Record,
     Worker,
     head,
-    read_message,
     run_case,
     settings,
 )
 
-GRACE_SECONDS = 0.5 + 0.05  # Rules.DrainGraceUs, and "each time limit is 50 ms longer"
-LATEST_TOLD_SECONDS = 6.0  # "counts as told 6 s later at the latest, whether or not it arrived"
-WATCHED_SECONDS = 12.0
+READ_AFTER_SECONDS = 4.0
+# Long answers of many lengths: how much the system's buffers take up by themselves differs from machine to machine.
+LENGTHS = [kilobytes * 1024 for kilobytes in range(96, 1536, 32)]
 
 
-class DiscoveryWithoutLengths(Discovery):
-    """Answers whole, without a length once `without_length` is set."""
+def answer(request_id: str) -> bytes:
+    """The answer made for a request, whose id ends with its length."""
+    return hashlib.sha256(request_id.encode()).digest() * (int(request_id.rpartition("-")[2]) // 32)
 
-    without_length = False
-    told_at = 0.0  # when the change was first written whole to the gatekeeper
 
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
-            while True:
-                message = await read_message(reader, self.record.now)
-                query = dict(p.partition("=")[::2] for p in message.first.split()[1].partition("?")[2].split("&") if p)
-                since = int(query.get("index", -1))
-                if since >= self.index:
-                    with contextlib.suppress(TimeoutError):
-                        await asyncio.wait_for(self._changed.wait(), int(query.get("wait", 0)) / 1000)
-                whole = since < 0
-                if whole:
-                    endpoints = [worker.entry() for worker in self.workers]
-                else:
-                    endpoints = list({e["name"]: e for number, e in self._log if number > since}.values())
-                body = json.dumps({"index": self.index, "snapshot": whole, "endpoints": endpoints}).encode()
-                framing = b"Connection: close" if self.without_length else b"Content-Length: %d" % len(body)
-                writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n%b\r\n\r\n%b" % (framing, body))
-                await writer.drain()
-                if self.index > 1 and not self.told_at:
-                    self.told_at = self.record.now()
-                    self.record.write(f"discovery has written the change whole: {body.decode()}")
-                if self.without_length:
-                    break
-        writer.close()  # no unread input: the end of the answer is an orderly one, not a reset
-
-
-async def ask(request_id: str, port: int, record: Record) -> None:
-    """Send a request and read its answer."""
-    reader, writer = await asyncio.open_connection("127.0.0.1", port)
-    writer.write(head(request_id))
-    with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
-        record.write(f"answer to {request_id}: {(await read_message(reader, record.now)).first}")
-    writer.close()
+async def client(length: int, port: int, record: Record) -> bool:
+    """Ask, read the first bytes at once and the rest four seconds later; return whether all of the answer came."""
+    loop, request_id = asyncio.get_running_loop(), f"long-answer-{length}"
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 64 * 1024)
+    sock.setblocking(False)
+    await loop.sock_connect(sock, ("127.0.0.1", port))
+    record.write(f"client sends {request_id}")
+    await loop.sock_sendall(sock, head(request_id))
+    received, reason = bytearray(), "the connection ended"
+    try:
+        while b"\r\n\r\n" not in received:
+            data = await loop.sock_recv(sock, 1024)
+            if not data:
+                break
+            received += data
+        first_line, _, _ = bytes(received).partition(b"\r\n")
+        record.write(f"client has the first bytes of the answer to {request_id}: {first_line!r}")
+        if TROUBLE:
+            await asyncio.sleep(READ_AFTER_SECONDS)
+        while len(received) < received.index(b"\r\n\r\n") + 4 + length:
+            data = await loop.sock_recv(sock, 64 * 1024)
+            if not data:
+                break
+            received += data
+    except OSError as error:
+        reason = repr(error)
+    sock.close()
+    body = bytes(received).partition(b"\r\n\r\n")[2]
+    complete = received.startswith(b"HTTP/1.1 200") and body == answer(request_id)
+    record.write(
+        f"client has {len(body)} of {length} bytes of the answer to {request_id}"
+        + ("" if complete else f": CUT OFF, {reason}")
+    )
+    return complete
 
 
 async def case(record: Record) -> int:
     """Run the case."""
     workers = [Worker(f"s-{n}", record) for n in range(3)]
     for worker in workers:
+        worker.body = answer
         await worker.start()
-    discovery = DiscoveryWithoutLengths(workers, record)
+    discovery = Discovery(workers, record)
     await discovery.start()
     gatekeeper = Gatekeeper(record, discovery.port, settings())
     try:
         await gatekeeper.start()
-        await asyncio.sleep(0.5)
-        discovery.without_length = TROUBLE
-        drained = workers[0]
-        drained.status = "draining"
-        discovery.tell(drained)
         clients = []
-        while record.now() < 2.0 + WATCHED_SECONDS:
-            clients.append(asyncio.create_task(ask(f"r-{len(clients)}", gatekeeper.port, record)))
-            await asyncio.sleep(0.05)
-        await asyncio.gather(*clients)
+        for length in LENGTHS:
+            clients.append(asyncio.create_task(client(length, gatekeeper.port, record)))
+            await asyncio.sleep(0.1)
+        results = await asyncio.gather(*clients)
     finally:
         gatekeeper.end()
-    if not discovery.told_at:
-        record.write("the gatekeeper never asked")
-        return BROKEN
-    late = [at - discovery.told_at for at, _ in drained.runs if at - discovery.told_at > GRACE_SECONDS]
-    record.write(f"{len(late)} requests to the draining worker more than {GRACE_SECONDS} s after it was told")
-    later = [age for age in late if age > LATEST_TOLD_SECONDS + GRACE_SECONDS]
-    record.write(f"{len(later)} of them more than {LATEST_TOLD_SECONDS} s and the grace after, the last {late[-1:]} s")
-    return BROKEN if late else HELD
+    record.write(f"{results.count(False)} of {len(results)} answers were cut off")
+    return HELD if all(results) else BROKEN
 
 
 run_case(str(pathlib.Path(__file__).parent), case)
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,21 +1,26 @@
-"""A client takes four seconds to read a long answer, which its worker has given whole."""
+"""Long answers in small pieces, to clients that take seconds to read: the gatekeeper's memory against its limit.
+
+The stand-in for the platform kills the gatekeeper when its resident memory is over `limits.memory_mb`.
+"""
 
 from __future__ import annotations
 
 import asyncio
-import hashlib
+import contextlib
 import pathlib
 import socket
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
 
+from kit2.platform import watch_memory  # noqa: E402
 from kit2.stand_ins import (  # noqa: E402
     BROKEN,
     HELD,
     TROUBLE,
     Discovery,
     Gatekeeper,
+    Message,
     Record,
     Worker,
     head,
@@ -23,73 +28,68 @@
     settings,
 )
 
-READ_AFTER_SECONDS = 4.0
-# Long answers of many lengths: how much the system's buffers take up by themselves differs from machine to machine.
-LENGTHS = [kilobytes * 1024 for kilobytes in range(96, 1536, 32)]
+MEMORY_MB = 192  # the most that the pages give a gatekeeper
+CLIENTS, ANSWER_BYTES = 4, 8 * 1024 * 1024
+PIECE_BYTES = 24 if TROUBLE else 32 * 1024  # of the chunks of an answer
+READ_AFTER_SECONDS = 6.0 if TROUBLE else 0.0
 
 
-def answer(request_id: str) -> bytes:
-    """The answer made for a request, whose id ends with its length."""
-    return hashlib.sha256(request_id.encode()).digest() * (int(request_id.rpartition("-")[2]) // 32)
+async def answer_in_pieces(message: Message, writer: asyncio.StreamWriter) -> bool:
+    """Answer with chunks of PIECE_BYTES."""
+    writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+    chunk = b"%x\r\n%b\r\n" % (PIECE_BYTES, b"y" * PIECE_BYTES)
+    at_once = max(1, 32 * 1024 // PIECE_BYTES)
+    for _ in range(ANSWER_BYTES // PIECE_BYTES // at_once):
+        writer.write(chunk * at_once)
+        await writer.drain()
+    writer.write(b"0\r\n\r\n")
+    await writer.drain()
+    return True
 
 
-async def client(length: int, port: int, record: Record) -> bool:
-    """Ask, read the first bytes at once and the rest four seconds later; return whether all of the answer came."""
-    loop, request_id = asyncio.get_running_loop(), f"long-answer-{length}"
+async def client(number: int, port: int, record: Record) -> bool:
+    """Ask, read the first bytes at once and the rest seconds later; return whether the answer came to its end."""
+    loop, request_id = asyncio.get_running_loop(), f"long-answer-{number}"
     sock = socket.socket()
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 64 * 1024)
     sock.setblocking(False)
-    await loop.sock_connect(sock, ("127.0.0.1", port))
-    record.write(f"client sends {request_id}")
-    await loop.sock_sendall(sock, head(request_id))
-    received, reason = bytearray(), "the connection ended"
-    try:
-        while b"\r\n\r\n" not in received:
-            data = await loop.sock_recv(sock, 1024)
-            if not data:
-                break
-            received += data
-        first_line, _, _ = bytes(received).partition(b"\r\n")
-        record.write(f"client has the first bytes of the answer to {request_id}: {first_line!r}")
-        if TROUBLE:
-            await asyncio.sleep(READ_AFTER_SECONDS)
-        while len(received) < received.index(b"\r\n\r\n") + 4 + length:
-            data = await loop.sock_recv(sock, 64 * 1024)
-            if not data:
-                break
-            received += data
-    except OSError as error:
-        reason = repr(error)
+    size, tail = 0, b""
+    with contextlib.suppress(OSError):
+        await loop.sock_connect(sock, ("127.0.0.1", port))
+        record.write(f"client sends {request_id}")
+        await loop.sock_sendall(sock, head(request_id))
+        data = await loop.sock_recv(sock, 1024)
+        record.write(f"client has the first bytes of the answer to {request_id}: {data[:15]!r}")
+        await asyncio.sleep(READ_AFTER_SECONDS)
+        size, tail = len(data), data[-5:]
+        while not tail.endswith(b"0\r\n\r\n") and (data := await loop.sock_recv(sock, 256 * 1024)):
+            size, tail = size + len(data), (tail + data)[-5:]
     sock.close()
-    body = bytes(received).partition(b"\r\n\r\n")[2]
-    complete = received.startswith(b"HTTP/1.1 200") and body == answer(request_id)
-    record.write(
-        f"client has {len(body)} of {length} bytes of the answer to {request_id}"
-        + ("" if complete else f": CUT OFF, {reason}")
-    )
-    return complete
+    record.write(f"client has {size} bytes of the answer to {request_id}, which end with {tail!r}")
+    return tail.endswith(b"0\r\n\r\n")
 
 
 async def case(record: Record) -> int:
     """Run the case."""
-    workers = [Worker(f"s-{n}", record) for n in range(3)]
+    workers = [Worker(f"s-{n}", record) for n in range(4)]
     for worker in workers:
-        worker.body = answer
+        worker.behave = answer_in_pieces
         await worker.start()
     discovery = Discovery(workers, record)
     await discovery.start()
-    gatekeeper = Gatekeeper(record, discovery.port, settings())
+    gatekeeper = Gatekeeper(record, discovery.port, settings(), {"memory_mb": MEMORY_MB, "sockets": 1024})
     try:
         await gatekeeper.start()
-        clients = []
-        for length in LENGTHS:
-            clients.append(asyncio.create_task(client(length, gatekeeper.port, record)))
-            await asyncio.sleep(0.1)
-        results = await asyncio.gather(*clients)
+        watch = asyncio.create_task(watch_memory(gatekeeper, MEMORY_MB, record))
+        results = await asyncio.gather(*(client(n, gatekeeper.port, record) for n in range(CLIENTS)))
+        killed = watch.done()
+        watch.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await watch
     finally:
         gatekeeper.end()
-    record.write(f"{results.count(False)} of {len(results)} answers were cut off")
-    return HELD if all(results) else BROKEN
+    record.write(f"killed for memory: {killed}; answers that came to their end: {results.count(True)} of {CLIENTS}")
+    return BROKEN if killed else HELD
 
 
 run_case(str(pathlib.Path(__file__).parent), case)
