Drop what the system holds of a repeat, and keep its end back from slow workers

Cause: an attempt counted as written once the transport's buffer was empty. The system's send buffer was neither looked at (SIOCOUTQ) nor dropped, as a close goes on sending; and what the worker's system has acknowledged may be read there after the window. For a body that was whole before it was sent the gateway allowed no time for the transfer (arrival_seconds was 0).

Fix: at the end of the window unacknowledged bytes end the attempt, and a close with such bytes is a reset. The last block of a repeat is held back until the worker's system has the rest, and is written only if the rate at which the worker reads lets it come in time. Request.long_body lets the gateway allow for the transfer. This works as a request whose last block never left this process cannot run, whatever the buffers hold.

--- a/micagate/interface.py
+++ b/micagate/interface.py
@@ -192,6 +192,7 @@
     first_gateway: int = field(default=0, metadata={TRACE_NAME: "first"})
     # The whole body has arrived; otherwise a `RequestComplete` follows, and the deadline counts from it.
     complete: bool = field(default=True, metadata={TRACE_NAME: "whole"})
+    long_body: bool = False  # the body is long enough to take time to a worker, also if it has arrived here
 
     def __post_init__(self) -> None:
         _require_at_least(self, 1, ("gateway_count",))
--- a/micagate/pending.py
+++ b/micagate/pending.py
@@ -44,8 +44,8 @@
         self.holds_slot = True  # whether it counts against its customer's concurrency limit
 
     def arrival_seconds(self, now: float) -> float:
-        """Return the time that the request took at most to arrive at the worker, 0 for a body that is not streamed."""
-        if self.pending.request.complete:
+        """Return the time that the request took at most to arrive at the worker, 0 for one with a short body."""
+        if self.pending.request.complete and not self.pending.request.long_body:
             return 0.0
         return (now if self.ended_at is None else self.ended_at) - self.begun_at
 
--- a/oliveloft/backend/attempt.py
+++ b/oliveloft/backend/attempt.py
@@ -49,6 +49,7 @@
         "status",
         "connection",
         "timer",
+        "repeat_until",
         "repeat_timer",
         "on_response",
         "on_written",
@@ -76,7 +77,8 @@
         self.status: str | None = None  # a status of `interface`, once the attempt has ended
         self.connection: Connection | None = None
         self.timer: asyncio.TimerHandle | None = None
-        self.repeat_timer: asyncio.TimerHandle | None = None  # ends a repeat that is not written in time
+        self.repeat_until: float | None = None  # loop time by which the last byte of a repeat has to arrive
+        self.repeat_timer: asyncio.TimerHandle | None = None  # ends a repeat that has not arrived in time
         self.ended_at: float | None = None  # loop time
 
     @property
@@ -114,12 +116,12 @@
             self.connection.attempt = None
         self.finish(interface.NOT_SENT)
 
-    def give_up_unless_written(self) -> None:
-        """End the attempt if a part of its request has not left yet, so that the worker does not run it."""
+    def give_up_unless_arrived(self) -> None:
+        """End the attempt if a part of its request has not arrived yet, so that the worker does not run it."""
         if self.is_unsent():
             self.withdraw()
         elif self.connection is not None:
-            self.connection.fail_unless_written()
+            self.connection.fail_unless_arrived()
 
     def is_unsent(self) -> bool:
         """Whether nothing of the attempt has been written: its connection is still being established."""
--- a/oliveloft/backend/connection.py
+++ b/oliveloft/backend/connection.py
@@ -18,7 +18,9 @@
 from micagate import interface
 from micagate.invariants import AttemptState, EndpointState, write_refusal
 from oliveloft.backend.attempt import Attempt, Response
+from oliveloft.backend.last_block import LastBlockGate
 from oliveloft.backend.limits import HOP_BY_HOP, MAX_HEAD_BYTES, STALL_TIMEOUT_SECONDS
+from oliveloft.backend.send_queue import abort_unsent, unacknowledged_bytes, unsent_bytes
 from oliveloft.bodies.body import Body
 from oliveloft.polling import poll_socket
 from oliveloft.shared_types import ResponseSink
@@ -87,6 +89,7 @@
         "_closed",
         "_request_body",
         "_next_block",
+        "_last_block_gate",
         "_response_sink",
         "_content_length",
         "_last_progress",
@@ -112,6 +115,7 @@
         self._body: list[bytes] = []
         self._request_body: Body | None = None  # the streamed request body that is being written
         self._next_block = 0  # number of its next block
+        self._last_block_gate: LastBlockGate | None = None  # of a repeat that has to arrive by a deadline
         self._response_sink: ResponseSink | None = None  # the receiver of the response, once that is streamed
         self._content_length: int | None = None  # the announced length of the response body
         self._read_paused = False  # the sink accepts no more data for now
@@ -164,6 +168,10 @@
         if isinstance(attempt.body, Body):
             self._request_body, self._next_block, self._last_progress = attempt.body, 0, self._pool.loop.time()
             self._request_body.on_data = self._write_body
+            if attempt.repeat_until is not None:
+                self._last_block_gate = LastBlockGate(
+                    self._pool.loop, transport, attempt.repeat_until, self._write_body, self.fail_unless_arrived
+                )
             self._write_body()
             return
         self._written = not transport.is_closing() and transport.get_write_buffer_size() == 0
@@ -187,10 +195,15 @@
         while transport.get_write_buffer_size() <= MAX_WRITE_BUFFER_BYTES:
             if transport.is_closing():
                 return  # a broken connection accepts all writes; nothing of them may count as written
+            if (gate := self._last_block_gate) is not None and not gate.is_open and body.is_last(self._next_block):
+                gate.hold_back(body.block_bytes(self._next_block))
+                return
             block = body.read(self._next_block)
             if block is None:
                 break
             self._next_block += 1
+            if gate is not None:
+                gate.written(len(block))
             if body.content_length is None:
                 transport.writelines((b"%x\r\n" % len(block), block, b"\r\n"))
             else:
@@ -245,10 +258,19 @@
         """Fail a stalled attempt: UNREACHABLE if the worker has an incomplete request, else CONNECTION_RESET."""
         self._fail(interface.UNREACHABLE if self._request_body is not None else interface.CONNECTION_RESET)
 
-    def fail_unless_written(self) -> None:
-        """End the attempt if a part of its request is still here: the worker sees an incomplete one."""
-        if not self._written:
+    def has_arrived(self) -> bool:
+        """Whether the worker's system has all of the request."""
+        return self._written and (self.transport is None or not unacknowledged_bytes(self.transport))
+
+    def fail_unless_arrived(self) -> None:
+        """End the attempt if a part of its request is still on this machine, and drop that part.
+
+        The worker sees an incomplete request. Where the rest is on its way, it may have arrived all the same.
+        """
+        if not self._written or self.transport is not None and unsent_bytes(self.transport):
             self._fail(interface.UNREACHABLE)
+        elif not self.has_arrived():
+            self._fail(interface.CONNECTION_RESET)
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; data without an attempt is an unsolicited response and closes the connection."""
@@ -440,17 +462,19 @@
             attempt.finish(status)
 
     def close(self) -> None:
-        """Close at once; unsent data is dropped."""
+        """Close at once; unsent data is dropped, also what the system holds."""
         if self._closed:
             return
         self._closed = True
+        if self._last_block_gate is not None:
+            self._last_block_gate.close()
         if self._request_body is not None:
             self._request_body.on_data = None
             self._request_body = None
         if self._stream_timer is not None:
             self._stream_timer.cancel()
         if self.transport is not None:
-            self.transport.abort()
+            abort_unsent(self.transport)
         elif self.task is not None:
             # A task that is cancelled before its first step runs no cleanup, so the connection is removed here.
             self.task.cancel()
--- a/oliveloft/bodies/body.py
+++ b/oliveloft/bodies/body.py
@@ -87,6 +87,14 @@
             self.on_room()
         return block
 
+    def is_last(self, number: int) -> bool:
+        """Whether block `number` is the last one, of a body that is complete."""
+        return self.is_complete and number == self._first_block + len(self._blocks) - 1
+
+    def block_bytes(self, number: int) -> int:
+        """The size of a block that is buffered."""
+        return len(self._blocks[number - self._first_block])
+
     def _discard_up_to(self, number: int) -> None:
         """Discard the blocks up to this one: there is no room to keep them for a retry."""
         self.is_replayable = False
--- a/oliveloft/dispatch/dispatcher.py
+++ b/oliveloft/dispatch/dispatcher.py
@@ -377,7 +377,8 @@
             attempt.finish(interface.NOT_SENT)
             return
         if (repeat_until := self._repeat_deadline(request, now)) is not None:
-            attempt.repeat_timer = self._loop.call_at(repeat_until, attempt.give_up_unless_written)
+            attempt.repeat_until = repeat_until
+            attempt.repeat_timer = self._loop.call_at(repeat_until, attempt.give_up_unless_arrived)
         if 0 < within < request.deadline - now:
             attempt.deadline = now + within
             attempt.timer = self._loop.call_later(within, attempt.cancel, interface.TIMED_OUT)
--- a/oliveloft/front/http.py
+++ b/oliveloft/front/http.py
@@ -943,6 +943,7 @@
             client_retry=headers.get(b"x-retried") == b"1",
             first_gateway=first_gateway,
             complete=incoming.streamed_body is None or incoming.streamed_body.is_complete,
+            long_body=incoming.streamed_body is not None,
         )
         target = path + b"?" + query
         size = sum(map(len, incoming.body_chunks))
--- a/tests/decisions/test_long_bodies.py
+++ b/tests/decisions/test_long_bodies.py
@@ -145,3 +145,13 @@
     gateway.handle(upload_seconds, RequestComplete("r"))
     actions = gateway.handle(upload_seconds + 0.3, Outcome("r", 0, worker, interface.FAILURE, False, took=0.3))
     assert [type(action) for action in actions if isinstance(action, Send | Fail)] == [kind]
+
+
+# Guards against: the time that a body takes to a worker was not allowed for when it was whole before it was sent.
+@pytest.mark.parametrize(("transfer_seconds", "kind"), [(2.4, Send), (2.6, Fail)])
+def test_a_long_body_that_was_whole_at_once_is_repeated_only_if_it_can_arrive_within_the_window(transfer_seconds, kind):
+    gateway = new_gateway()
+    actions = gateway.handle(0.0, Request("r", "keyed", "basic", "c", 6.0, long_body=True))
+    worker = of_type(actions, Send)[0].worker
+    actions = gateway.handle(transfer_seconds, Outcome("r", 0, worker, interface.FAILURE, False, took=transfer_seconds))
+    assert [type(action) for action in actions if isinstance(action, Send | Fail)] == [kind]
