Give trailers a size limit of their own, and count only what the parser keeps

Cause: trailer fields were added to the size of the whole message and compared with the limit of a head, in the front and in the backend.

Fix: a counter of its own for trailers; and the bytes that count as unparsed are those since the parser gave out a head, a message or a part of a body.

--- a/oliveloft/backend/connection.py
+++ b/oliveloft/backend/connection.py
@@ -78,6 +78,7 @@
         "_response",
         "_body",
         "_size",
+        "_trailer_size",
         "_unparsed_bytes",
         "_interim_count",
         "_written",
@@ -121,8 +122,9 @@
         self._read_paused = False  # the sink accepts no more data for now
         self._last_progress = 0.0  # loop time of the last transfer of a streamed body
         self._stream_timer: asyncio.TimerHandle | None = None  # starts streaming a response of unknown length
-        # Bytes of the response; bytes received since the last complete head or message; 1xx responses received.
-        self._size = self._unparsed_bytes = self._interim_count = 0
+        # Bytes of the response; of its trailers; 1xx responses received.
+        self._size = self._trailer_size = self._interim_count = 0
+        self._unparsed_bytes = 0  # received since the last complete head or message, or part of a body
         # All of the request has left the write buffer; the response head is complete; it announces a length or
         # chunks; the close of the connection ends the response; the response is complete.
         self._written = self._head_complete = self._has_framing = self._framed_by_close = self._complete = False
@@ -289,10 +291,8 @@
                 return
         if self._complete:
             self._response_complete()
-        elif self._response_sink is None and self._unparsed_bytes > MAX_HEAD_BYTES + (
-            4 * self._pool.max_body if self._head_complete else 0
-        ):
-            # The parser buffers a header until it is complete, so its size is limited here.
+        elif self._unparsed_bytes > (2 if self._head_complete else 1) * MAX_HEAD_BYTES:
+            # The parser buffers a header or trailer until it is complete, so its size is limited here.
             self._fail(interface.MALFORMED_RESPONSE)
 
     def eof_received(self) -> bool:
@@ -320,14 +320,15 @@
             self._reusable = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header. Trailers count towards the size limit and are otherwise ignored."""
-        self._size += len(name) + len(value)
-        if self._size > MAX_HEAD_BYTES + (
-            self._pool.max_body if self._head_complete and self._response_sink is None else 0
-        ):
-            raise MessageTooLarge
+        """Store a header. Trailers have a size limit of their own and are otherwise ignored."""
         if self._head_complete:
+            self._trailer_size += len(name) + len(value)
+            if self._trailer_size > MAX_HEAD_BYTES:
+                raise MessageTooLarge
             return
+        self._size += len(name) + len(value)
+        if self._size > MAX_HEAD_BYTES:
+            raise MessageTooLarge
         lower_name, value = name.lower(), value.strip(b" \t")  # whitespace is not part of the value (RFC 9110, 5.5)
         if lower_name == b"x-not-processed":
             self._response.not_processed = value == b"1"
@@ -359,6 +360,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Buffer a chunk of the body, or forward it if the response is streamed."""
+        self._unparsed_bytes = 0
         if self._response_sink is not None:
             self._size += len(data)
             if self._size > MAX_HEAD_BYTES + self._pool.max_streamed_body:
--- a/oliveloft/front/http.py
+++ b/oliveloft/front/http.py
@@ -89,6 +89,7 @@
         "duplicate_header",
         "body_chunks",
         "size",
+        "trailer_size",
         "keep_alive",
         "rejection",
         "streamed_body",
@@ -106,6 +107,7 @@
         self.duplicate_header = b""  # an X- header that occurs more than once
         self.body_chunks: list[bytes] = []
         self.size = 0  # bytes of the head, then of the body
+        self.trailer_size = 0  # bytes of the trailer fields
         self.keep_alive = True
         self.rejection: tuple[int, str] | None = None
         self.streamed_body: Body | None = None  # set if the body is too large to buffer: forwarded as it is received
@@ -173,7 +175,7 @@
         self._unsent_bytes = 0  # size of the transport's write buffer when it was last checked
         self._chunked = self._http_1_0 = False  # framing of the streamed response; version of its request
         self._rejected_count = 0  # rejected requests on this connection
-        # Bytes received since the last complete head or message; once input is ignored, the bytes discarded.
+        # Bytes received since the last complete head, message or body part; once input is ignored, those discarded.
         self._unparsed_bytes = 0
 
     # Transport callbacks.
@@ -239,11 +241,7 @@
         try:
             self._parser.feed_data(data)
             # The parser buffers a header or trailer until it is complete, so its size is limited here.
-            if self._incoming is not None and self._incoming.streamed_body is not None:
-                self._unparsed_bytes = 0  # a streamed body has a limit of its own
-            if self._unparsed_bytes > MAX_HEAD_BYTES + 4 * MAX_BUFFERED_BODY_BYTES or (
-                self._unparsed_bytes > 2 * MAX_HEAD_BYTES and not self._head_complete
-            ):
+            if self._unparsed_bytes > 2 * MAX_HEAD_BYTES:
                 self._reject_input(431, "head too large")
         except httptools.HttpParserUpgrade:
             pass  # rejected in on_headers_complete
@@ -276,11 +274,14 @@
         self._add_head_bytes(incoming, len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header. Trailers count towards the size limit and are otherwise ignored."""
+        """Store a header. Trailers have a size limit of their own and are otherwise ignored."""
         incoming = cast(IncomingRequest, self._incoming)
-        self._add_head_bytes(incoming, len(name) + len(value) + 4)
         if self._head_complete:
+            incoming.trailer_size += len(name) + len(value) + 4
+            if incoming.trailer_size > MAX_HEAD_BYTES:
+                raise BadRequest(431, "trailers too large")
             return
+        self._add_head_bytes(incoming, len(name) + len(value) + 4)
         lower_name = name.lower()
         value = value.strip(b" \t")  # surrounding whitespace is not part of the value (RFC 9110, 5.5)
         if lower_name in incoming.headers:
@@ -327,6 +328,7 @@
         """Buffer a chunk of the body, or forward it if the body is streamed."""
         incoming = cast(IncomingRequest, self._incoming)
         incoming.size += len(data)
+        self._unparsed_bytes = 0
         if incoming.size > MAX_BUFFERED_BODY_BYTES and incoming.streamed_body is None:
             self._start_streaming_body(incoming)
         if incoming.streamed_body is None:
--- a/rig/bulk.py
+++ b/rig/bulk.py
@@ -15,6 +15,7 @@
 from rig.fake_servers import Listener, Message
 
 BLOCK_BYTES = 4096
+TRAILER = b"X-Checksum: 0123456789abcdef\r\n"
 
 
 def make_block(name: str, number: int) -> bytes:
@@ -49,7 +50,8 @@
             if chunked:
                 length = int((await reader.readuntil(b"\r\n")).split(b";")[0], 16)
                 if not length:
-                    await reader.readuntil(b"\r\n")
+                    while await reader.readuntil(b"\r\n") != b"\r\n":
+                        pass  # a trailer field
                     return size, checksum, True
                 data = await reader.readexactly(length)
                 await reader.readexactly(2)
@@ -82,8 +84,9 @@
     """A worker of long bodies, controlled by the query of each request.
 
     `give`: size of the response body; `pace`: its bytes a second; `step`: bytes a write; `framing`: length, chunked or
-    close. `stall` or `break`: stop, or abort the connection, after so many bytes. `read`: bytes a second at which the
-    request is read. `turn=N`: respond 503 to its first N attempts; `cut=N`: abort them in the middle of the request.
+    close; `trailer=1`: chunks end with a trailer field. `stall` or `break`: stop, or abort the connection, after so
+    many bytes. `read`: bytes a second at which the request is read. `turn=N`: respond 503 to its first N attempts;
+    `cut=N`: abort them in the middle of the request.
     """
 
     _attempts: dict[str, int] = {}  # by request id, over all workers
@@ -177,7 +180,7 @@
         writer.transport.abort()
         return False
     if framing == "chunked":
-        writer.write(b"0\r\n\r\n")
+        writer.write(b"0\r\n%b\r\n" % (TRAILER if "trailer" in query else b""))
     return framing != "close"
 
 
@@ -206,11 +209,13 @@
         stop: int | None = None,
         plan: str = "free",
         timeout: float = 3.0,
+        trailer: bytes = b"",
     ) -> tuple[int, str, int, int, bool]:
         """Send a request; return status, request id, response size, its checksum and whether it is complete.
 
         The request body has `size` bytes, is sent in steps of `step` bytes at `send_bytes_per_second`, and stops after
-        `stop` bytes. `worker_query` is the query for the worker. The response is read at `read_bytes_per_second`.
+        `stop` bytes; `trailer` follows a chunked one. `worker_query` is the query for the worker. The response is read
+        at `read_bytes_per_second`.
         """
         BulkClient.requests_made += 1
         name = f"bulk{BulkClient.requests_made}"
@@ -225,7 +230,7 @@
             ).encode()
         )
         sending = asyncio.create_task(
-            self._send(name, size, chunked, send_bytes_per_second, step, size if stop is None else stop)
+            self._send(name, size, chunked, send_bytes_per_second, step, size if stop is None else stop, trailer)
         )
         try:
             response = await read_head(self.reader)
@@ -238,7 +243,9 @@
             with contextlib.suppress(asyncio.CancelledError, ConnectionError):
                 await sending
 
-    async def _send(self, name: str, size: int, chunked: bool, bytes_per_second: float, step: int, stop: int) -> None:
+    async def _send(
+        self, name: str, size: int, chunked: bool, bytes_per_second: float, step: int, stop: int, trailer: bytes
+    ) -> None:
         for first in range(0, stop, step):
             data = body_slice(name, first, min(step, stop - first))
             self.writer.write(b"%x\r\n%b\r\n" % (len(data), data) if chunked else data)
@@ -246,7 +253,7 @@
             if bytes_per_second:
                 await asyncio.sleep(len(data) / bytes_per_second)
         if chunked and stop == size:
-            self.writer.write(b"0\r\n\r\n")
+            self.writer.write(b"0\r\n%b\r\n" % trailer)
             await self.writer.drain()
 
     def close(self) -> None:
