Charge what connections hold to one budget, and read no more than it has room for

Cause: bytes received were counted, objects were held. A header line took two objects, a piece of a body one, a chunk to a client three; windows of uploads, write buffers, queued requests and incomplete responses had no limit over all connections. The rest of a streamed response that the budget had not taken was timed like a short reply, by 2.5 s.

Fix: one budget for the process, charged at every stage. Header lines and pieces are gathered. All connections read into one buffer, no more than the budget has room for. Few connections where there is little memory. A bound in each place was weighed: 8 KB each for 600 connections is less than an upload needs.

Forwarding every body early without memory took all connections to workers, and usual clients got 503.

--- a/micagate/estimates/metering.py
+++ b/micagate/estimates/metering.py
@@ -14,7 +14,6 @@
 import math
 from bisect import bisect_right
 from collections.abc import Iterator, Sequence
-from statistics import NormalDist
 
 PHASE_BIN_COUNT = 32  # intervals into which a period is divided to locate its phase
 LATENESS_CANDIDATE_COUNT = 32  # candidate publication delays that are compared
@@ -48,7 +47,30 @@
 OTHERS_RELATIVE_DEVIATION = 0.5  # standard deviation of the others' expected use relative to it, beside Poisson noise
 WEIGH_EVERY_NTH_READING = 4  # once the lateness is known, only one of so many readings is used to refine it
 # Standard deviations of a normal distribution by confidence, in steps of 1/20.
-CONFIDENCE_DEVIATIONS = tuple(NormalDist().inv_cdf(min(0.95, max(0.05, n / 20))) for n in range(21))
+# Written out, as the library that computes them takes memory in every process.
+CONFIDENCE_DEVIATIONS = (
+    -1.6448536269514726,
+    -1.6448536269514726,
+    -1.2815515655446008,
+    -1.0364333894937894,
+    -0.8416212335729142,
+    -0.6744897501960817,
+    -0.5244005127080407,
+    -0.3853204664075676,
+    -0.2533471031357998,
+    -0.125661346855074,
+    0.0,
+    0.12566134685507413,
+    0.2533471031357998,
+    0.3853204664075676,
+    0.5244005127080407,
+    0.6744897501960817,
+    0.8416212335729144,
+    1.0364333894937894,
+    1.2815515655446008,
+    1.6448536269514715,
+    1.6448536269514715,
+)
 
 
 class Meter:
--- a/oliveloft/backend/attempt.py
+++ b/oliveloft/backend/attempt.py
@@ -25,7 +25,7 @@
 
     def __init__(self) -> None:
         self.status = 0
-        self.headers: list[bytes] = []  # end-to-end header lines, as they are forwarded to the client
+        self.headers = bytearray()  # end-to-end header lines, as they are forwarded to the client
         self.body = b""
         self.allowance_used: float | None = None  # X-Allowance-Used as a share (1.0: all of it)
         self.head_received_at = 0.0  # loop time
@@ -131,7 +131,15 @@
         """Whether all of the request has been written to the worker's connection."""
         return self.connection is not None and self.connection.request_written
 
-    def message(self, now: float) -> bytes:
-        """The request as written to the worker, with the remaining time; a streamed body is written separately."""
-        body = self.body if isinstance(self.body, bytes) else b""
-        return b"%bX-Timeout: %.3f\r\n\r\n%b" % (self.head, max(0.001, self.deadline - now), body)
+    def message(self, now: float) -> tuple[bytes, bytes]:
+        """Head and body of the request as written to the worker, with the remaining time.
+
+        The body is empty if it is streamed, which is written separately.
+        """
+        head = b"%bX-Timeout: %.3f\r\n\r\n" % (self.head, max(0.001, self.deadline - now))
+        return head, self.body if isinstance(self.body, bytes) else b""
+
+    def release_body(self) -> None:
+        """Release a body that is not streamed: the request is over, and is not sent again."""
+        if isinstance(self.body, bytes):
+            self.body = b""
--- a/oliveloft/backend/connection.py
+++ b/oliveloft/backend/connection.py
@@ -29,6 +29,10 @@
     from oliveloft.backend.pool import ConnectionPool
 
 MAX_WRITE_BUFFER_BYTES = 64 * 1024  # no more of a streamed request is written while the write buffer is above this
+SMALL_READ_BYTES = 32 * 1024  # after a smaller read of a chunked response that is streamed, the next one waits
+SMALL_READ_DELAY_SECONDS = 0.002
+MAX_PIECES_AT_ONCE = 512  # pieces of a body that are read before other connections get their turn
+SEPARATE_BODY_BYTES = 8 * 1024  # a request body of this size is written beside its head, not copied behind it
 STREAM_DELAY_SECONDS = 0.1  # a response of unknown length that takes longer than this is streamed
 MAX_INTERIM_RESPONSES = 8  # 1xx responses accepted ahead of the final one
 PERCENT_PATTERN = re.compile(rb"[0-9]{1,6}(\.[0-9]{1,9})?")
@@ -62,11 +66,12 @@
         self.idle.clear()
 
 
-class Connection(asyncio.Protocol):
+class Connection(asyncio.BufferedProtocol):
     """The protocol of one connection to a worker, which carries one attempt at a time."""
 
     __slots__ = (
         "_pool",
+        "_memory",
         "endpoint",
         "attempt",
         "transport",
@@ -77,7 +82,10 @@
         "_parser",
         "_response",
         "_body",
+        "_pieces",
+        "_held_bytes",
         "_size",
+        "_max_size",
         "_trailer_size",
         "_unparsed_bytes",
         "_interim_count",
@@ -99,7 +107,7 @@
     )
 
     def __init__(self, pool: ConnectionPool, endpoint: EndpointIncarnation, attempt: Attempt | None) -> None:
-        self._pool, self.endpoint = pool, endpoint
+        self._pool, self._memory, self.endpoint = pool, pool.memory, endpoint
         self.attempt: Attempt | None = attempt
         self.transport: asyncio.Transport | None = None
         self.task: asyncio.Task[None] | None = None
@@ -109,11 +117,14 @@
         self._idle_age: float | None = None  # idle time before the current attempt in seconds; None: a new connection
         self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
         self._closed = False
+        self._max_size = MAX_HEAD_BYTES + pool.max_streamed_body  # of a response in bytes
         self._reset()
 
     def _reset(self) -> None:
         self._response = Response()
-        self._body: list[bytes] = []
+        self._body: list[bytes] = []  # what was read of a response that is not streamed, one entry a read
+        self._pieces: list[bytes] = []  # the parts of the body in the read that is being parsed
+        self._held_bytes = 0  # bytes of `_body` that are charged to the budget
         self._request_body: Body | None = None  # the streamed request body that is being written
         self._next_block = 0  # number of its next block
         self._last_block_gate: LastBlockGate | None = None  # of a repeat that has to arrive by a deadline
@@ -166,7 +177,11 @@
         self.attempt, self._idle_age = attempt, idle_age
         attempt.connection = self
         transport = cast(asyncio.Transport, self.transport)
-        transport.write(attempt.message(self._pool.loop.time()))
+        head, body = attempt.message(self._pool.loop.time())
+        if len(body) >= SEPARATE_BODY_BYTES:
+            transport.writelines((head, body))
+        else:
+            transport.write(head + body)
         if isinstance(attempt.body, Body):
             self._request_body, self._next_block, self._last_progress = attempt.body, 0, self._pool.loop.time()
             self._request_body.on_data = self._write_body
@@ -194,7 +209,7 @@
         if body.is_dropped:
             self._fail(interface.UNREACHABLE)  # the client has disconnected; the worker sees an incomplete request
             return
-        while transport.get_write_buffer_size() <= MAX_WRITE_BUFFER_BYTES:
+        while transport.get_write_buffer_size() <= (0 if body.over_budget else MAX_WRITE_BUFFER_BYTES):
             if transport.is_closing():
                 return  # a broken connection accepts all writes; nothing of them may count as written
             if (gate := self._last_block_gate) is not None and not gate.is_open and body.is_last(self._next_block):
@@ -274,7 +289,15 @@
         elif not self.has_arrived():
             self._fail(interface.CONNECTION_RESET)
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """The buffer for the next read."""
+        return self._memory.read_view()
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Parse what was read."""
+        self.data_received(self._memory.buffer[:nbytes])
+
+    def data_received(self, data: bytes | memoryview) -> None:
         """Parse received bytes; data without an attempt is an unsolicited response and closes the connection."""
         if self.attempt is None or self._parser is None:
             self.close()  # otherwise the data would be taken for the response to the next request
@@ -291,7 +314,10 @@
                 return
         if self._complete:
             self._response_complete()
-        elif self._unparsed_bytes > (2 if self._head_complete else 1) * MAX_HEAD_BYTES:
+            return
+        if self._pieces:
+            self._take_pieces()
+        if self._unparsed_bytes > (2 if self._head_complete else 1) * MAX_HEAD_BYTES:
             # The parser buffers a header or trailer until it is complete, so its size is limited here.
             self._fail(interface.MALFORMED_RESPONSE)
 
@@ -345,7 +371,7 @@
             elif lower_name == b"connection" and b"close" in [word.strip(b" \t") for word in value.lower().split(b",")]:
                 self._framed_by_close = True
         elif lower_name != b"x-server-load":
-            self._response.headers.append(b"%b: %b\r\n" % (name, value))
+            self._response.headers += b"%b: %b\r\n" % (name, value)
 
     def on_headers_complete(self) -> None:
         """Read the status and framing of the response; start streaming a body that is announced as large."""
@@ -355,55 +381,93 @@
         parser = cast(httptools.HttpResponseParser, self._parser)
         self._response.status, self._response.head_received_at = parser.get_status_code(), self._pool.loop.time()
         self._framed_by_close = self._framed_by_close or not self._has_framing and parser.get_http_version() == "1.0"
-        if self._content_length is not None and self._content_length > self._pool.max_body:
-            self._start_streaming()  # the body follows
+        if (self._content_length or 0) > self._pool.max_body and not self._start_streaming():
+            raise MessageTooLarge
 
     def on_body(self, data: bytes) -> None:
-        """Buffer a chunk of the body, or forward it if the response is streamed."""
+        """Take a part of the body; the parts of one read are handled together."""
         self._unparsed_bytes = 0
-        if self._response_sink is not None:
-            self._size += len(data)
-            if self._size > MAX_HEAD_BYTES + self._pool.max_streamed_body:
-                raise MessageTooLarge
-            self._forward_chunk(self._response_sink, data)
-            return
         if self._complete:
             return
         self._size += len(data)
+        if self._response.status == 200:
+            self._pieces.append(data)
+            if self._size > self._max_size:
+                raise MessageTooLarge
+        elif self._size > MAX_HEAD_BYTES + self._pool.max_body:  # such a body does not reach the client
+            raise MessageTooLarge
+
+    def _take_pieces(self) -> None:
+        """Buffer what was read of the body, or forward it if the response is streamed."""
+        pieces, self._pieces = self._pieces, []
+        if self._response_sink is not None:
+            self._forward_pieces(self._response_sink, pieces)
+            if self._content_length is None:
+                self._defer_next_read(pieces)
+            return
+        data = pieces[0] if len(pieces) == 1 else b"".join(pieces)
         self._body.append(data)
-        if (
-            self._content_length is None
-            and not self._framed_by_close
-            and self._stream_timer is None
-            and self._response.status == 200
-        ):
+        self._held_bytes += len(data)
+        budget = self._memory.budget
+        budget.charge(len(data))
+        if self._content_length is None and not self._framed_by_close and self._stream_timer is None:
             # A response of unknown length that is not complete at once may be long: stream it after a short delay.
             self._stream_timer = self._pool.loop.call_later(STREAM_DELAY_SECONDS, self._start_streaming)
         if self._size > MAX_HEAD_BYTES + self._pool.max_body:
+            if not self._start_streaming():
+                self._fail(interface.MALFORMED_RESPONSE)
+        elif budget.is_exhausted:
             self._start_streaming()
 
-    def _start_streaming(self) -> None:
-        """Stream the response to the client from here on. Raises MessageTooLarge if a large one cannot be streamed."""
-        attempt = self.attempt
-        if self._response_sink is not None or self._complete or attempt is None or self._parser is None:
+    def _defer_next_read(self, pieces: list[bytes]) -> None:
+        """Let more of a chunked response come before the next read, or other connections have their turn.
+
+        Each read costs as much for a small piece as for a large one.
+        """
+        if self.transport is None or self._read_paused or self._closed:
             return
-        sink = None
-        if self._response.status == 200 and attempt.on_response is not None and not attempt.done:
-            self._response_sink = sink = attempt.on_response(attempt, self._response, self._content_length, self)
+        if len(pieces) > MAX_PIECES_AT_ONCE:
+            self.transport.pause_reading()
+            self._pool.loop.call_soon(self._read_on)
+        elif sum(map(len, pieces)) < SMALL_READ_BYTES:
+            self.transport.pause_reading()
+            self._pool.loop.call_later(SMALL_READ_DELAY_SECONDS, self._read_on)
+
+    def _read_on(self) -> None:
+        if self.transport is not None and not self._read_paused and not self._closed:
+            self.transport.resume_reading()
+
+    def _release_body(self) -> list[bytes]:
+        """Return what is buffered of the body, and release its charge."""
+        body, self._body = self._body, []
+        held_bytes, self._held_bytes = self._held_bytes, 0
+        if held_bytes:
+            self._memory.budget.release(held_bytes)
+        return body
+
+    def _start_streaming(self) -> bool:
+        """Stream the response to the client from here on; return whether it is streamed."""
+        attempt = self.attempt
+        if self._response_sink is not None:
+            return True
+        if self._complete or attempt is None or self._parser is None:
+            return False
+        if self._response.status != 200 or attempt.on_response is None or attempt.done:
+            return False
+        sink = attempt.on_response(attempt, self._response, self._content_length, self)
         if sink is None:
-            if self._size > MAX_HEAD_BYTES + self._pool.max_body or (self._content_length or 0) > self._pool.max_body:
-                raise MessageTooLarge
-            return
+            return False
+        self._response_sink = sink
         if attempt.timer is not None:
             attempt.timer.cancel()
         self._last_progress = self._pool.loop.time()
-        body, self._body = self._body, []
-        for data in body:
-            self._forward_chunk(sink, data)
+        if body := self._release_body():
+            self._forward_pieces(sink, body)
+        return True
 
-    def _forward_chunk(self, sink: ResponseSink, data: bytes) -> None:
-        """Forward a chunk, and pause reading if the client accepts no more."""
-        if not sink.write(data) and not self._read_paused and self.transport is not None:
+    def _forward_pieces(self, sink: ResponseSink, pieces: list[bytes]) -> None:
+        """Forward pieces of the body, and pause reading if the client accepts no more."""
+        if not sink.write(pieces) and not self._read_paused and self.transport is not None:
             self._read_paused = True
             self.transport.pause_reading()
 
@@ -421,11 +485,14 @@
             return
         if self._stream_timer is not None:
             self._stream_timer.cancel()
+        if self._response_sink is not None and self._pieces:
+            self._take_pieces()
         self._complete = True
         if self._response_sink is not None:
             sink, self._response_sink = self._response_sink, None
             sink.end()
-        self._response.body = b"".join(self._body)
+        self._response.body = b"".join(self._release_body() + self._pieces)
+        self._pieces = []
         self._reusable = self._reusable and cast(httptools.HttpResponseParser, self._parser).should_keep_alive()
 
     # End of an attempt or of the connection.
@@ -468,6 +535,7 @@
         if self._closed:
             return
         self._closed = True
+        self._release_body()
         if self._last_block_gate is not None:
             self._last_block_gate.close()
         if self._request_body is not None:
--- a/oliveloft/backend/pool.py
+++ b/oliveloft/backend/pool.py
@@ -16,6 +16,7 @@
 from oliveloft.backend.connection import Connection, EndpointIncarnation
 from oliveloft.backend.idle_timeout import IdleTimeout
 from oliveloft.backend.limits import MAX_BUFFERED_BODY_BYTES
+from oliveloft.connection_memory import ConnectionMemory
 from oliveloft.guard import Guard
 from oliveloft.shared_types import Endpoint
 
@@ -48,7 +49,7 @@
     """The listed workers, their connections and the limit on these.
 
     `connect_timeout` and `idle_close` (the workers' own idle timeout) are in seconds. Response bodies above `max_body`
-    bytes are streamed, up to a second limit above which they are rejected.
+    bytes are streamed, up to a second limit above which they are rejected. `memory` bounds what connections hold.
     """
 
     def __init__(
@@ -60,8 +61,10 @@
         max_body: int = MAX_BUFFERED_BODY_BYTES,
         max_streamed_body: int = buffering.MAX_BODY_BYTES,
         guard: Guard | None = None,
+        memory: ConnectionMemory | None = None,
     ) -> None:
         self.guard = Guard() if guard is None else guard
+        self.memory = ConnectionMemory() if memory is None else memory
         self.loop, self.max_body, self.max_streamed_body = loop, max_body, max(max_streamed_body, max_body)
         self._connection_limit, self._connect_timeout = connection_limit, connect_timeout
         self.idle_timeout = IdleTimeout(IDLE_TIMEOUT_SHARE * idle_close, loop.time())
--- a/oliveloft/config/loading.py
+++ b/oliveloft/config/loading.py
@@ -9,6 +9,7 @@
 import os
 import resource
 import socket
+import sys
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -19,9 +20,12 @@
 
 MICROSECONDS_PER_SECOND = 1_000_000
 BYTES_PER_MB = 1024 * 1024
-BASE_MEMORY_MB = 48  # needed beside buffered bodies: the process itself and the windows of streamed bodies
-# Long bodies may be buffered in this share of the memory limit less BASE_MEMORY_MB, and at least in MIN_BUFFER_MB.
+BASE_MEMORY_MB = 48  # needed beside what connections hold, with some for what they leave unused in the heap
+# Connections may hold this share of the memory limit less BASE_MEMORY_MB, and at least MIN_BUFFER_MB.
 BUFFER_SHARE, MIN_BUFFER_MB = 0.75, 1
+# With little memory there are fewer connections than descriptors: what the limit leaves to them, by what each takes
+# beside the bytes that it holds.
+PROCESS_MEMORY_MB, CONNECTION_BYTES, MIN_CONNECTIONS = 27, 7 * 1024, 64
 
 
 class ConfigError(Exception):
@@ -46,7 +50,8 @@
     max_units: float  # of one request
     management: tuple[str, int] | None = None  # the operators' address
     max_body_bytes: int = buffering.MAX_BODY_BYTES  # of a request or a response
-    max_buffered_bytes: int = buffering.MAX_BUFFERED_BYTES  # of all long bodies together
+    max_buffered_bytes: int = buffering.MAX_BUFFERED_BYTES  # of all connections together
+    max_connections: int = sys.maxsize  # of clients and to workers, for which there is memory
     accept_fd: int | None = None  # the inherited socket that listens for clients, if there is one
 
 
@@ -114,6 +119,7 @@
         accept_fd=_accept_fd(env),
         max_body_bytes=_megabytes(raw, "body_mb", buffering.MAX_BODY_BYTES / BYTES_PER_MB),
         max_buffered_bytes=_max_buffered_bytes(raw),
+        max_connections=_max_connections(raw),
         name=str(raw.get("name") or env.get("PROXY_NAME") or "oliveloft"),
         listen=_address(raw, env, "listen", "PROXY_LISTEN", 0),
         discovery=_address(raw, env, "discovery", "PROXY_DISCOVERY", 1),
@@ -165,7 +171,7 @@
 
 
 def _max_buffered_bytes(raw: dict[str, Any]) -> int:
-    """Return how much memory may buffer long bodies: a share of what the memory limit leaves, unless it is set."""
+    """Return how much memory connections may hold: a share of what the memory limit leaves, unless it is set."""
     limits = raw.get("limits", {})
     if isinstance(limits, dict) and "held_mb" in limits:
         return _megabytes(raw, "held_mb", buffering.MAX_BUFFERED_BYTES / BYTES_PER_MB)
@@ -178,6 +184,12 @@
     )
 
 
+def _max_connections(raw: dict[str, Any]) -> int:
+    """Return for how many connections there is memory, beside the process and what they may hold."""
+    memory_bytes = _megabytes(raw, "memory_mb", 192.0) - PROCESS_MEMORY_MB * BYTES_PER_MB - _max_buffered_bytes(raw)
+    return max(MIN_CONNECTIONS, memory_bytes // CONNECTION_BYTES)
+
+
 def _max_descriptors(raw: dict[str, Any]) -> int:
     """Return how many descriptors the process may hold: the limit that is set, or the system's if that is lower."""
     limits = raw.get("limits", {})
--- a/oliveloft/dispatch/dispatcher.py
+++ b/oliveloft/dispatch/dispatcher.py
@@ -10,6 +10,7 @@
 import logging
 from collections import deque
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 from micagate import interface
 from micagate.gateway import Gateway
@@ -25,9 +26,11 @@
 from oliveloft.backend.attempt import Attempt, Response
 from oliveloft.backend.pool import ConnectionPool
 from oliveloft.bodies.body import Body
-from oliveloft.counter.client import CounterClient
 from oliveloft.shared_types import BodySource, DiscoveryUpdate, ResponseSink
 
+if TYPE_CHECKING:  # a gatekeeper without a shared counter does not load its client
+    from oliveloft.counter.client import CounterClient
+
 log = logging.getLogger("oliveloft")
 
 Reply = Callable[[int, bytes, bytes], None]  # writes a reply: status, header lines, body
@@ -186,7 +189,7 @@
             ),
             name,
         )
-        sink.begin(b"".join(response.headers), length, source)
+        sink.begin(bytes(response.headers), length, source)
         return sink
 
     def client_disconnected(self, request: Request) -> None:
@@ -407,7 +410,7 @@
         if status != interface.SUCCESS:
             self._end_if_client_left(request)
         elif response is not None and not request.is_over:
-            self._reply(request, 200, b"".join(response.headers), response.body)
+            self._reply(request, 200, bytes(response.headers), response.body)
         outcome = interface.Outcome(
             request=attempt.request,
             attempt=attempt.number,
@@ -456,6 +459,10 @@
         """End a request in a final state."""
         request.state, request.reply = state, None
         self._withdraw_unsent(request)
+        if isinstance(request.body, bytes):
+            request.body = b""
+            for attempt in request.attempts:
+                attempt.release_body()
         self._discard_if_done(request)
 
     def _withdraw_unsent(self, request: Request) -> None:
--- a/oliveloft/front/listener.py
+++ b/oliveloft/front/listener.py
@@ -49,7 +49,7 @@
         self,
         loop: asyncio.AbstractEventLoop,
         sock: socket.socket,
-        protocol_factory: Callable[[], asyncio.Protocol],
+        protocol_factory: Callable[[], asyncio.BaseProtocol],
         make_room: Callable[[], None] = lambda: None,
     ) -> None:
         self._loop, self._protocol_factory, self._make_room = loop, protocol_factory, make_room
--- a/oliveloft/gatekeeper/process.py
+++ b/oliveloft/gatekeeper/process.py
@@ -26,7 +26,7 @@
 from micagate.operating.presence import Presence
 from oliveloft.backend.pool import ConnectionPool
 from oliveloft.config.loading import Config, ConfigError, load
-from oliveloft.counter.client import CounterClient
+from oliveloft.connection_memory import ConnectionMemory
 from oliveloft.discovery.policy import FIRST_ANSWER_SECONDS
 from oliveloft.discovery.watch import DiscoveryWatch, WatchState
 from oliveloft.dispatch.dispatcher import RequestDispatcher
@@ -36,7 +36,8 @@
 from oliveloft.manage.server import MAX_CALLERS, ManagementServer
 from oliveloft.shared_types import DiscoveryUpdate
 
-if TYPE_CHECKING:  # a gatekeeper without planners and fleet does not load these modules
+if TYPE_CHECKING:  # a gatekeeper without planners, fleet and shared counter does not load these modules
+    from oliveloft.counter.client import CounterClient
     from oliveloft.fleet.config import FleetConfig
     from oliveloft.fleet.member import Member
     from oliveloft.planners.config import PlannersConfig
@@ -73,18 +74,23 @@
     descriptors = max(
         16, config.max_descriptors - RESERVED_DESCRIPTORS - (MAX_CALLERS if config.management is not None else 0)
     )
+    descriptors = min(descriptors, config.max_connections)
     max_clients = int(descriptors * CLIENT_SHARE)
+    memory = ConnectionMemory(config.max_buffered_bytes)
     workers = ConnectionPool(
         loop,
         descriptors - max_clients,
         config.connect_timeout,
         config.idle_timeout,
         max_streamed_body=config.max_body_bytes,
+        memory=memory,
     )
     clock_offset = time.time() - loop.time()  # read once, since the wall clock may be stepped
     start_times = StartTimes(clock_offset)
-    counter = None
+    counter: CounterClient | None = None
     if config.counter is not None and config.settings.counter_timeout:
+        from oliveloft.counter.client import CounterClient
+
         counter = CounterClient(loop, config.counter, config.settings.counter_timeout, config.seed)
     gateway = Gateway(config.settings, config.seed, loop.time(), clock_offset)
     dispatcher = RequestDispatcher(loop, config.settings, gateway, workers, counter)
@@ -99,7 +105,7 @@
         dispatcher,
         presence,
         config.max_body_bytes,
-        config.max_buffered_bytes,
+        memory,
     )
     handoff: Handoff | None = None
     handoff_folder = os.environ.get("TMPDIR") if config.accept_fd is not None else None
--- a/oliveloft/shared_types.py
+++ b/oliveloft/shared_types.py
@@ -43,8 +43,8 @@
         disconnected.
         """
 
-    def write(self, data: bytes) -> bool:
-        """Write a chunk; return whether more may follow at once."""
+    def write(self, pieces: list[bytes]) -> bool:
+        """Write pieces of the body; return whether more may follow at once."""
 
     def end(self) -> None:
         """The response is complete."""
