Cancel what has not arrived when its client leaves, and keep the ids that may have run

Cause: client_disconnected cancelled attempts only while the body was not whole here; what the gatekeeper or the system still held was written. The id of a request was known only while it was pending or in flight here.

Fix: attempts whose request has not arrived at the worker are cancelled, with a reset that drops what the system holds.

--- a/micagate/gateway.py
+++ b/micagate/gateway.py
@@ -23,6 +23,7 @@
 from micagate.share_transfers import apply_share_update
 from micagate.shares import Shares
 from micagate.throttle import Throttle
+from micagate.unanswered import UnansweredRequests
 
 # The retry budget: further attempts that each new request adds to it, and the most that it can hold.
 RETRY_BUDGET_PER_REQUEST, RETRY_BUDGET_CAPACITY = 0.2, 10.0
@@ -65,6 +66,7 @@
         self.waits = FirstRequestWaits(settings.classes)
         self.retry_budget = RETRY_BUDGET_CAPACITY
         self._subscribed = not settings.requires_subscription
+        self.unanswered = UnansweredRequests()
         self._actions: list[interface.Action] = []
 
     def handle(self, now: float, event: interface.Event) -> list[interface.Action]:
@@ -109,6 +111,13 @@
             self.counting.actions.clear()
         return self._actions
 
+    def may_run_twice(self, now: float, request: str) -> bool:
+        """Return whether a request with this id has a first attempt in flight, or may have run for a client that left.
+
+        The attempt may be one of this process's predecessor.
+        """
+        return (request, 0) in self.in_flight or self.unanswered.may_have_run(now, request)
+
     def _on_worker_list(self, now: float, event: interface.WorkerList) -> None:
         """Apply a discovery update, and subscribe to further ones if that is required and not done or has failed."""
         if not event.failed:
@@ -373,6 +382,8 @@
         elif attempt.pending.complete:  # else the duration is that of the client's upload
             self._signal_if_late(now, attempt, event.took)
         if pending is None:
+            if attempt.klass.effect == interface.SIDE_EFFECT and event.status not in interface.NOT_EXECUTED_STATUSES:
+                self.unanswered.record(now, event.request)  # its client has left, or belongs to another process
             release_request(self.counting, attempt.pending, self._pending)
             return
         if (
--- a/oliveloft/backend/attempt.py
+++ b/oliveloft/backend/attempt.py
@@ -131,6 +131,10 @@
         """Whether all of the request has been written to the worker's connection."""
         return self.connection is not None and self.connection.request_written
 
+    def has_arrived(self) -> bool:
+        """Whether all of the request has arrived at the worker, or the attempt has ended."""
+        return self.done or self.connection is not None and self.connection.has_arrived()
+
     def message(self, now: float) -> tuple[bytes, bytes]:
         """Head and body of the request as written to the worker, with the remaining time.
 
--- a/oliveloft/dispatch/dispatcher.py
+++ b/oliveloft/dispatch/dispatcher.py
@@ -120,6 +120,10 @@
         """Whether a request with this id is pending or has an attempt in flight."""
         return request_id in self._requests
 
+    def may_run_twice(self, request_id: str) -> bool:
+        """Whether a request with this id is in flight, here or at a predecessor, or may have run without an answer."""
+        return request_id in self._requests or self._gateway.may_run_twice(self._loop.time(), request_id)
+
     def submit(
         self,
         event: interface.Request,
@@ -195,15 +199,15 @@
     def client_disconnected(self, request: Request) -> None:
         """End a request whose client has disconnected; nothing more of it is sent to workers.
 
-        An attempt whose request was written completely runs to its end. If the client had not sent all of the request,
-        its attempts are cancelled: the worker sees an incomplete request and has not run it. The gateway is notified
-        first, as it would otherwise retry the attempts that end here.
+        An attempt whose request has arrived at its worker runs to its end. The others are cancelled, and what the
+        system still holds of them is dropped: the worker sees an incomplete request and does not run it. The gateway is
+        notified first, as it would otherwise retry the attempts that end here.
         """
         if not request.is_over:
             self._close_request(request, RequestState.CLIENT_DISCONNECTED)
             self._handle_event(interface.ClientDisconnected(request.event.request), request.event.request)
-        if isinstance(request.body, Body) and not request.body.is_complete:
-            for attempt in request.attempts:
+        for attempt in request.attempts:
+            if not attempt.has_arrived():
                 attempt.cancel(interface.CANCELLED)
 
     def end_all_requests(self) -> None:
--- a/oliveloft/front/http.py
+++ b/oliveloft/front/http.py
@@ -1280,7 +1280,7 @@
         units, gateway_count, first_gateway = parsed_weight
         deadline = incoming.received_at + min(float(timeout), klass.deadline)
         request_name = request_id.decode()
-        if self.dispatcher.has_request(request_name):
+        if self.dispatcher.may_run_twice(request_name):
             raise BadRequest(400, "X-Request-ID is in use")
         event = interface.Request(
             request=request_name,
