Stream an answer without a length or chunks once its worker takes over a second

Cause: what ends by close was streamed only from 80 KB on, so that a reset before can be retried.

Fix: it is streamed after 1 s. A reset is passed on, so that the client can tell. Chunked answers still wait 0.1 s.

Evidence: in tests/front/test_slow_workers.py the slow answer by close failed before the fix (502, no body) and arrives complete now; with a length and in chunks it passed before as well.

--- a/oliveloft/backend/connection.py
+++ b/oliveloft/backend/connection.py
@@ -34,6 +34,7 @@
 MAX_PIECES_AT_ONCE = 512  # pieces of a body that are read before other connections get their turn
 SEPARATE_BODY_BYTES = 8 * 1024  # a request body of this size is written beside its head, not copied behind it
 STREAM_DELAY_SECONDS = 0.1  # a response of unknown length that takes longer than this is streamed
+UNFRAMED_STREAM_DELAY_SECONDS = 1.0  # the same without chunks: until then a reset of the connection can be retried
 MAX_INTERIM_RESPONSES = 8  # 1xx responses accepted ahead of the final one
 PERCENT_PATTERN = re.compile(rb"[0-9]{1,6}(\.[0-9]{1,9})?")
 
@@ -410,9 +411,10 @@
         self._held_bytes += len(data)
         budget = self._memory.budget
         budget.charge(len(data))
-        if self._content_length is None and not self._framed_by_close and self._stream_timer is None:
+        if self._content_length is None and self._stream_timer is None:
             # A response of unknown length that is not complete at once may be long: stream it after a short delay.
-            self._stream_timer = self._pool.loop.call_later(STREAM_DELAY_SECONDS, self._start_streaming)
+            delay_seconds = STREAM_DELAY_SECONDS if self._has_framing else UNFRAMED_STREAM_DELAY_SECONDS
+            self._stream_timer = self._pool.loop.call_later(delay_seconds, self._start_streaming)
         if self._size > MAX_HEAD_BYTES + self._pool.max_body:
             if not self._start_streaming():
                 self._fail(interface.MALFORMED_RESPONSE)
--- /dev/null
+++ b/tests/front/test_slow_workers.py
@@ -0,0 +1,39 @@
+"""Workers that read or write slowly: the final reply comes in time, and what they still give is not cut off."""
+
+import asyncio
+
+import pytest
+
+from rig.bulk import BulkClient, BulkWorker, body_checksum
+from rig.fake_servers import FakeWorker, reset, run, running_gatekeeper
+
+
+# Guards against: a response without a length was held back until its deadline, however much its worker still gave.
+@pytest.mark.parametrize("framing", ["close", "chunked", "length"])
+def test_a_long_response_that_its_worker_writes_for_longer_than_the_deadline_arrives_complete(framing):
+    async def scenario():
+        async with running_gatekeeper(BulkWorker("w")) as (gatekeeper, _, _):
+            client = await BulkClient.connect(gatekeeper.port)
+            query = f"give=120000&framing={framing}&pace=40000&step=4000"
+            status, name, *received = await client.fetch("read", worker_query=query, timeout=2.0)
+            assert status == 200 and received == [120_000, body_checksum(name, 120_000), True]
+
+    run(scenario())
+
+
+# Guards against: a response without a length that is reset on the way looked complete to its client.
+def test_a_streamed_response_without_a_length_that_is_reset_is_visibly_truncated():
+    async def give_and_reset(request, writer):
+        writer.write(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n")
+        for _ in range(15):
+            writer.write(b"x" * 4000)
+            await asyncio.sleep(0.1)
+        await reset(request, writer)
+
+    async def scenario():
+        async with running_gatekeeper(FakeWorker("w", give_and_reset)) as (gatekeeper, _, _):
+            client = await BulkClient.connect(gatekeeper.port)
+            status, _, size, _, complete = await client.fetch("read", timeout=2.0)
+            assert status == 200 and size <= 60_000 and not complete
+
+    run(scenario())
