Start the deadline of a long request when its client may have sent all of it

Cause: the deadline began when the last byte was read here. Without memory it waits in the system for as long as the worker takes to read.

If the rest has come, or the buffer is full and no more is left than a client's send buffer takes, the deadline starts, once.

--- a/oliveloft/dispatch/dispatcher.py
+++ b/oliveloft/dispatch/dispatcher.py
@@ -148,8 +148,7 @@
         """Start the deadline of a streamed request: its last byte has been received."""
         if request.is_over:
             return
-        request.deadline = self._loop.time() + request.event.time_left
-        request.deadline_timer = self._loop.call_at(request.deadline, self._deadline_expired, request)
+        self.request_sent(request, self._loop.time())
         in_flight = next((attempt for attempt in request.attempts if not attempt.done), None)
         if in_flight is not None:
             in_flight.deadline = request.deadline
@@ -157,6 +156,13 @@
                 return  # reported by _request_written instead
         self._notify_request_complete(request)
 
+    def request_sent(self, request: Request, sent_at: float) -> None:
+        """Start the deadline of a streamed request, once: its client had sent the last byte at this loop time."""
+        if request.is_over or request.deadline_timer is not None:
+            return
+        request.deadline = sent_at + request.event.time_left
+        request.deadline_timer = self._loop.call_at(request.deadline, self._deadline_expired, request)
+
     def _notify_request_complete(self, request: Request) -> None:
         """Report to the gateway that all of a streamed request is here, once."""
         if request.state is RequestState.ARRIVING:
--- a/oliveloft/front/http.py
+++ b/oliveloft/front/http.py
@@ -29,7 +29,7 @@
 from oliveloft.connection_memory import ConnectionMemory
 from oliveloft.dispatch.dispatcher import Request, RequestDispatcher
 from oliveloft.front.pending_output import PendingOutput
-from oliveloft.polling import poll_socket
+from oliveloft.polling import poll_socket, unread_bytes
 from oliveloft.shared_types import BodySource
 
 log = logging.getLogger("oliveloft")
@@ -56,6 +56,8 @@
 MAX_PARSED_AT_ONCE = 32  # requests parsed before other connections get their turn
 MAX_PIECES_AT_ONCE = 512  # the same for pieces of a body
 QUEUED_REQUEST_BYTES = 1024  # charged for a queued request beside its head and body
+FULL_RECEIVE_BUFFER_BYTES = 256 * 1024  # a receive buffer with so much counts as full, and one that does not grow
+MAX_SEND_BUFFER_BYTES = 4 * 1024 * 1024  # that the system of a client takes (tcp_wmem)
 MAX_SEPARATE_PIECES = 320  # of a streamed response, written at once as they are; the system takes 1,024 buffers
 OUTPUT_STEP_BYTES = 256 * 1024  # written at once of a response that waited for its client
 # Of a streamed response, in the transport's write buffer before it pauses; also as a share of the budget.
@@ -205,6 +207,7 @@
         "_keep_alive",
         "_queued_size",
         "_unparsed_input",
+        "_waiting_input",
         "_current_bytes",
         "_busy",
         "_write_paused",
@@ -240,6 +243,7 @@
         self._queue: deque[IncomingRequest] = deque()
         self._current: Request | None = None
         self._queued_size = 0  # approximate size of the queued requests in bytes
+        self._waiting_input = (0.0, 0)  # since when so many bytes wait in the receive buffer, while reading is paused
         self._unparsed_input = b""  # the rest of what was read, while the queue is full
         self._current_bytes = 0  # size of the request in progress, if it is not streamed
         self._busy = False  # a request has been taken from the queue and not been answered yet
@@ -983,6 +987,7 @@
             self._note_progress(now)
         if PauseReason.NO_MEMORY in self._pause_reasons and self._incoming is not None:
             self._forward_streamed_body(self._incoming)  # others that were forwarded early may have ended
+            self._start_deadline_if_sent(self._incoming)
         if self._streaming_output:
             if self._write_paused and now - self._last_progress > STALL_TIMEOUT_SECONDS:
                 self.abort()  # the client does not read its streamed response
@@ -1002,6 +1007,22 @@
         elif not self._busy and self._incoming is not None and waited_seconds > SLOW_CLIENT_TIMEOUT_SECONDS:
             self._reject_input(408, "too slow")
 
+    def _start_deadline_if_sent(self, incoming: IncomingRequest) -> None:
+        """Start the deadline of a request that is not read on, if its client may have sent all of it.
+
+        The client counts from its last byte, which may wait for a worker that reads slowly: in the receive buffer here,
+        or behind a full one, which takes no more, in the client's send buffer.
+        """
+        if not incoming.dispatched or self._current is None or incoming.content_length is None:
+            return
+        now, waiting_bytes = self._server.loop.time(), unread_bytes(self._transport)
+        if waiting_bytes != self._waiting_input[1]:
+            self._waiting_input = (now, waiting_bytes)
+        remaining_bytes, since = incoming.content_length - incoming.size, self._waiting_input[0]
+        is_full = since < now and waiting_bytes > 0 or waiting_bytes >= min(remaining_bytes, FULL_RECEIVE_BUFFER_BYTES)
+        if is_full and remaining_bytes <= waiting_bytes + MAX_SEND_BUFFER_BYTES:
+            self._server.dispatcher.request_sent(self._current, since)
+
     def stalled_byte_seconds(self, now: float) -> float:
         """What is held of a request that makes no progress, times its duration; 0 for one that proceeds.
 
--- a/rig/bulk.py
+++ b/rig/bulk.py
@@ -191,6 +191,7 @@
 
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.reader, self.writer = reader, writer
+        self.is_sent = False  # all of the last request has been written to the transport
 
     @classmethod
     async def connect(cls, port: int, read_limit: int = 0) -> BulkClient:
@@ -246,6 +247,7 @@
     async def _send(
         self, name: str, size: int, chunked: bool, bytes_per_second: float, step: int, stop: int, trailer: bytes
     ) -> None:
+        self.is_sent = False
         for first in range(0, stop, step):
             data = body_slice(name, first, min(step, stop - first))
             self.writer.write(b"%x\r\n%b\r\n" % (len(data), data) if chunked else data)
@@ -255,6 +257,7 @@
         if chunked and stop == size:
             self.writer.write(b"0\r\n%b\r\n" % trailer)
             await self.writer.drain()
+        self.is_sent = True
 
     def close(self) -> None:
         """Abort the connection."""
--- a/tests/front/test_slow_workers.py
+++ b/tests/front/test_slow_workers.py
@@ -5,7 +5,30 @@
 import pytest
 
 from rig.bulk import BulkClient, BulkWorker, body_checksum
-from rig.fake_servers import FakeWorker, reset, run, running_gatekeeper
+from rig.fake_servers import FakeWorker, reset, run, running_gatekeeper, until
+
+MB = 1 << 20
+
+
+# Guards against: without memory, the deadline of a request that its worker reads slowly began when its last byte was
+# read here, seconds after the client had sent it.
+@pytest.mark.parametrize("held_mb", [0.0625, 24])
+def test_the_deadline_of_a_long_request_counts_from_when_its_client_has_sent_it(held_mb):
+    async def scenario():
+        loop, timeout_seconds = asyncio.get_running_loop(), 1.0
+        async with running_gatekeeper(BulkWorker("w"), limits={"held_mb": held_mb}) as (gatekeeper, _, _):
+            client = await BulkClient.connect(gatekeeper.port)
+            asking = asyncio.create_task(
+                client.fetch(size=6 * MB, worker_query=f"read={MB}", timeout=timeout_seconds, step=6 * MB)
+            )
+            await until(lambda: client.is_sent)
+            await until(lambda: not client.writer.transport.get_write_buffer_size())
+            sent_at = loop.time()
+            status, *_ = await asking
+            assert status in (502, 504)
+            assert loop.time() - sent_at < timeout_seconds + 0.5  # a final reply is lost half a second after its time
+
+    run(scenario())
 
 
 # Guards against: a response without a length was held back until its deadline, however much its worker still gave.
