Serve others beside one client at full speed, and bound accounts by the memory limit

Played with real processes (rig.memory_pressure): on no usual client was answered beside pipelined health checks (five time-outs in 4 s); beside requests with unknown plans memory grew by 34 MB in 4 s, beside those of ever new customers by 11 MB in 4 s.

Cause: all that one read brought was parsed and answered in one go; what was parsed behind a rejection was still queued until the connection closed; up to 30,000 accounts of some 1.3 KB were kept whatever the memory limit.

Here, requests behind a rejection are dropped, and the number of accounts follows from the memory limit (a quarter of what the process leaves, 256 at least).

--- a/oliveloft/config/loading.py
+++ b/oliveloft/config/loading.py
@@ -11,7 +11,7 @@
 import socket
 import sys
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from micagate.adapter import parse_settings as read_settings
@@ -26,6 +26,8 @@
 # With little memory there are fewer connections than descriptors: what the limit leaves to them, by what each takes
 # beside the bytes that it holds.
 PROCESS_MEMORY_MB, CONNECTION_BYTES, MIN_CONNECTIONS = 27, 7 * 1024, 64
+# Customers' accounts may take this share of what the memory limit leaves to anything but the process.
+ACCOUNT_SHARE, ACCOUNT_BYTES, MIN_ACCOUNTS = 0.25, 1280, 256
 
 
 class ConfigError(Exception):
@@ -92,6 +94,7 @@
         raise ConfigError("settings: missing or no object")
     try:
         settings = read_settings(settings_json)
+        settings = replace(settings, max_accounts=min(settings.max_accounts, _max_accounts(raw)))
         drain_grace = settings_json["Rules"]["DrainGraceUs"] / MICROSECONDS_PER_SECOND
         connect_timeout, idle_timeout = (
             settings_json["Caps"][key] / MICROSECONDS_PER_SECOND for key in ("ConnectTimeoutUs", "IdleCloseUs")
@@ -190,6 +193,12 @@
     return max(MIN_CONNECTIONS, memory_bytes // CONNECTION_BYTES)
 
 
+def _max_accounts(raw: dict[str, Any]) -> int:
+    """Return for how many customers' accounts there is memory."""
+    memory_bytes = _megabytes(raw, "memory_mb", 192.0) - PROCESS_MEMORY_MB * BYTES_PER_MB
+    return max(MIN_ACCOUNTS, int(ACCOUNT_SHARE * memory_bytes) // ACCOUNT_BYTES)
+
+
 def _max_descriptors(raw: dict[str, Any]) -> int:
     """Return how many descriptors the process may hold: the limit that is set, or the system's if that is lower."""
     limits = raw.get("limits", {})
--- a/oliveloft/front/http.py
+++ b/oliveloft/front/http.py
@@ -654,6 +654,8 @@
             self._server.forwarding.discard(self)
             self._streamed_request_complete()
             return
+        if self._input_ignored:
+            return  # the rest of a read behind a rejection
         self._queue.append(incoming)
         self._serve_next()
         if self._queue:
--- a/rig/memory_pressure.py
+++ b/rig/memory_pressure.py
@@ -14,7 +14,7 @@
 import itertools
 import socket
 import string
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import dataclass, field
 
 from rig.bulk import BulkClient, BulkWorker, read_head
@@ -118,6 +118,44 @@
     await slow_reader(port, "tiny=1")
 
 
+async def flood(port: int, messages: Iterator[bytes]) -> None:
+    """Send messages on one connection at full speed, and read what comes."""
+    client = await connect(port)
+    reading = asyncio.create_task(_read_all(client))
+    try:
+        while not reading.done():
+            client.writer.write(b"".join(itertools.islice(messages, 200)))
+            await client.writer.drain()
+    finally:
+        reading.cancel()
+        client.close()
+
+
+async def _read_all(client: BulkClient) -> None:
+    while await client.reader.read(65536):
+        pass
+
+
+async def health_checks(port: int) -> None:
+    """Send health checks at full speed."""
+    await flood(port, itertools.repeat(b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"))
+
+
+async def unknown_paths(port: int) -> None:
+    """Send the smallest requests that are not served."""
+    await flood(port, itertools.repeat(b"GET / HTTP/1.1\r\n\r\n" * 20))
+
+
+async def new_customers(port: int) -> None:
+    """Send requests of ever new customers."""
+    await flood(port, (Client.request("write", customer=f"{number:016x}") for number in itertools.count()))
+
+
+async def unknown_plans(port: int) -> None:
+    """Send requests with ever new plans that do not exist."""
+    await flood(port, (Client.request("write", plan=f"plan{number}") for number in itertools.count()))
+
+
 async def idle(port: int) -> None:
     """Say nothing."""
     await (await connect(port)).reader.read()
@@ -131,6 +169,10 @@
     "tiny_chunks": (tiny_chunks, 100),
     "slow_reader": (slow_reader, 200),
     "slow_reader_of_chunks": (slow_reader_of_chunks, 20),
+    "health_checks": (health_checks, 1),
+    "unknown_paths": (unknown_paths, 1),
+    "new_customers": (new_customers, 1),
+    "unknown_plans": (unknown_plans, 1),
 }
 
 
@@ -165,7 +207,7 @@
                 await act(port)
             await asyncio.sleep(0.2)
 
-    acts = [act for kind in kinds for act, count in [KINDS[kind]] for _ in range(min(most, count) // len(kinds))]
+    acts = [act for kind in kinds for act, count in [KINDS[kind]] for _ in range(-(-min(most, count) // len(kinds)))]
     tasks = [asyncio.create_task(usual_client(port, usual, until)) for _ in range(USUAL_CLIENTS)]
     tasks += [asyncio.create_task(again(act)) for act in acts]
     await asyncio.sleep(seconds)
