Remove a worker whose address another one has taken, as soon as a delta tells of that

Cause: the list of workers is kept by name. A delta with a new worker at the address of a listed one left that one in place, and its requests went to the new process.

Fix: such a delta removes the old one, for the pool and for the gateway.

Evidence: the new test in tests/gatekeeper/test_dispatcher.py failed before the fix and passes now; 261 of tests/gatekeeper and tests/discovery passed.

--- a/oliveloft/backend/pool.py
+++ b/oliveloft/backend/pool.py
@@ -100,6 +100,21 @@
             for name in [name for name in self._endpoints if name not in listed_names]:
                 self._endpoints.pop(name).retire(EndpointState.REMOVED)
 
+    def replaced_by(self, endpoints: Iterable[Endpoint]) -> list[str]:
+        """The names of listed workers whose address another worker of a delta, new there, has taken: they are gone.
+
+        A process at an address proves that the one before it has ended, also if that is not notified yet.
+        """
+        listed = list(endpoints)
+        names = {endpoint.entry.worker for endpoint in listed}
+        taken = {
+            endpoint.address
+            for endpoint in listed
+            if endpoint.entry.state == interface.HEALTHY
+            and ((known := self._endpoints.get(endpoint.entry.worker)) is None or known.address != endpoint.address)
+        }
+        return [name for name, known in self._endpoints.items() if known.address in taken and name not in names]
+
     def release_idle(self) -> Iterator[tuple[Connection, int]]:
         """Release all idle connections for a successor process; yields each with a duplicate of its descriptor."""
         for endpoint in self._endpoints.values():
--- a/oliveloft/dispatch/dispatcher.py
+++ b/oliveloft/dispatch/dispatcher.py
@@ -26,7 +26,7 @@
 from oliveloft.backend.attempt import Attempt, Response
 from oliveloft.backend.pool import ConnectionPool
 from oliveloft.bodies.body import Body
-from oliveloft.shared_types import BodySource, DiscoveryUpdate, ResponseSink
+from oliveloft.shared_types import BodySource, DiscoveryUpdate, Endpoint, ResponseSink
 
 if TYPE_CHECKING:  # a gatekeeper without a shared counter does not load its client
     from oliveloft.counter.client import CounterClient
@@ -235,8 +235,14 @@
 
     def update_workers(self, update: DiscoveryUpdate) -> None:
         """Apply a discovery update to the connection pool and the gateway."""
-        self._pool.update(update.endpoints, update.is_snapshot)
-        self._handle_event(interface.WorkerList(tuple(e.entry for e in update.endpoints), whole=update.is_snapshot), "")
+        endpoints = list(update.endpoints)
+        if not update.is_snapshot:
+            endpoints += [
+                Endpoint(interface.WorkerEntry(name, state=interface.REMOVED), ("", 0))
+                for name in self._pool.replaced_by(endpoints)
+            ]
+        self._pool.update(endpoints, update.is_snapshot)
+        self._handle_event(interface.WorkerList(tuple(e.entry for e in endpoints), whole=update.is_snapshot), "")
 
     def set_maintenance(self, worker: str, in_maintenance: bool, since: float | None = None) -> bool:
         """Put a worker into maintenance or back in service for an operator; return whether the worker is known.
--- a/tests/gatekeeper/test_dispatcher.py
+++ b/tests/gatekeeper/test_dispatcher.py
@@ -535,3 +535,22 @@
         assert not case.pool._connections
 
     run(scenario())
+
+
+# Guards against: a worker that came up at the address of one that had gone got that one's requests as well.
+def test_a_worker_whose_address_another_one_has_taken_gets_no_more_requests():
+    async def scenario():
+        worker = await FakeWorker("old").start()
+        case = Case(on(interface.Request, interface.Send("r", "old")))
+        case.update_workers(worker)
+        worker.name = "new"
+        entries = [worker.entry()]
+        case.dispatcher.update_workers(DiscoveryUpdate({"index": 2, "snapshot": False, "endpoints": entries}))
+        listed = {entry.worker: entry.state for entry in case.gateway.events[-1].entries}
+        assert listed == {"new": interface.HEALTHY, "old": interface.REMOVED}
+        assert case.pool.address("old") is None and case.pool.address("new") is not None
+        case.submit()
+        await until(lambda: case.gateway.outcomes())
+        assert case.gateway.outcomes() == [(0, interface.NOT_SENT, False)] and not worker.received
+
+    run(scenario())
