Split the HTTP front end into codec, connection and server

Need: front/http.py had grown to 1,346 lines with three jobs. Change: codec (requests as they arrive, their validation, replies as written), connection (one client), server (all of them), limits (their constants); what stored and checked a head is now methods of IncomingRequest, validation a class of its own.

--- a/oliveloft/front/http.py
+++ b/oliveloft/front/connection.py
@@ -1,6 +1,5 @@
-"""The HTTP/1.1 front end: client connections, request validation, and replies in request order.
+"""A client connection: parses pipelined requests, serves them one after another, and writes replies in their order.
 
-`Server` holds the client connections of the process and their limits; each connection is a protocol object of its own.
 A valid request goes to the `RequestDispatcher`, which calls back with the final reply, or with a streamed response.
 """
 
@@ -11,99 +10,54 @@
 import logging
 import math
 import os
-import re
 import select
 import socket
 from collections import deque
-from collections.abc import Callable
-from typing import cast
+from typing import TYPE_CHECKING, cast
 
 import httptools
 
-from micagate import interface
 from micagate.bodies import buffering
 from micagate.invariants import Reason, RequestState, close_refusal
-from micagate.operating.presence import Presence
-from oliveloft.backend.limits import HOP_BY_HOP, MAX_BUFFERED_BODY_BYTES, MAX_HEAD_BYTES, STALL_TIMEOUT_SECONDS
+from oliveloft.backend.limits import MAX_BUFFERED_BODY_BYTES, MAX_HEAD_BYTES, STALL_TIMEOUT_SECONDS
 from oliveloft.bodies.body import Body
-from oliveloft.connection_memory import ConnectionMemory
-from oliveloft.dispatch.dispatcher import Request, RequestDispatcher
+from oliveloft.dispatch.dispatcher import Request
+from oliveloft.front.codec import BadRequest, IncomingRequest, format_reply, format_stream_head
+from oliveloft.front.limits import (
+    BODY_READ_BYTES,
+    CHUNKED_READ_BYTES,
+    FIRST_REQUEST_TIMEOUT_SECONDS,
+    FULL_RECEIVE_BUFFER_BYTES,
+    GATHERED_PIECE_BYTES,
+    HEAD_READ_BYTES,
+    IDLE_TIMEOUT_SECONDS,
+    LINGER_SECONDS,
+    MAX_LINGER_BYTES,
+    MAX_PARSED_AT_ONCE,
+    MAX_PIECES_AT_ONCE,
+    MAX_PIPELINED_BYTES,
+    MAX_PIPELINED_REQUESTS,
+    MAX_REJECTED_REQUESTS,
+    MAX_SEND_BUFFER_BYTES,
+    MAX_SEPARATE_PIECES,
+    OUTPUT_STEP_BYTES,
+    PARSE_STEP_BYTES,
+    PIPELINE_READ_BYTES,
+    SLOW_CLIENT_TIMEOUT_SECONDS,
+    STALLED_HOLDER_SECONDS,
+    STARVED_HOLDER_SECONDS,
+    STREAM_SEND_BUFFER_BYTES,
+    STREAM_WRITE_BUFFER_BYTES,
+    STREAM_WRITE_BUFFER_SHARE,
+)
 from oliveloft.front.pending_output import PendingOutput
 from oliveloft.polling import poll_socket, unread_bytes
 from oliveloft.shared_types import BodySource
 
-log = logging.getLogger("oliveloft")
+if TYPE_CHECKING:
+    from oliveloft.front.server import Server
 
-IDLE_TIMEOUT_SECONDS = 2.0  # an idle client connection is closed after this time
-FIRST_REQUEST_TIMEOUT_SECONDS = 2.0  # the same for a connection that has not sent a valid request yet
-SLOW_CLIENT_TIMEOUT_SECONDS = 2.5  # time for a client to send a request, or to read a reply
-LINGER_SECONDS = 0.5  # time for the client of a rejected request to read the reply and to close
-MAX_LINGER_BYTES = 2 * MAX_BUFFERED_BODY_BYTES  # input that is read and discarded in that time
-STREAM_SEND_BUFFER_BYTES = 128 * 1024  # SO_SNDBUF of a connection that carries a streamed response
-MAX_REJECTED_REQUESTS = 3  # 404 or 405 replies until the connection is closed; other rejections close it at once
-# Requests queued on one connection, and bytes of their bodies, at which reading from it pauses.
-MAX_PIPELINED_REQUESTS = 16
-MAX_PIPELINED_BYTES = MAX_BUFFERED_BODY_BYTES
-SHUTDOWN_QUIET_SECONDS = 0.1  # a shutdown is complete after this time without a new connection
-SHUTDOWN_FLUSH_SECONDS = 0.05  # time for the last replies to be sent at the end of a shutdown
-MAX_OVERFLOW_CONNECTIONS = 24  # connections beyond the limit that still get a 503 reply
-HEAD_READ_BYTES = 16 * 1024  # read at once from a client that is not sending a body
-BODY_READ_BYTES = 256 * 1024  # read at once of a body
-CHUNKED_READ_BYTES = 32 * 1024  # the same of a body in chunks, which may be very small
-PIPELINE_READ_BYTES = 4 * 1024  # read at once behind a request that is in progress
-GATHERED_PIECE_BYTES = 4 * 1024  # smaller pieces of a body are gathered
-PARSE_STEP_BYTES = 4 * 1024  # parsed before the queue is looked at; a whole body is parsed at once
-MAX_PARSED_AT_ONCE = 32  # requests parsed before other connections get their turn
-MAX_PIECES_AT_ONCE = 512  # the same for pieces of a body
-QUEUED_REQUEST_BYTES = 1024  # charged for a queued request beside its head and body
-FULL_RECEIVE_BUFFER_BYTES = 256 * 1024  # a receive buffer with so much counts as full, and one that does not grow
-MAX_SEND_BUFFER_BYTES = 4 * 1024 * 1024  # that the system of a client takes (tcp_wmem)
-MAX_SEPARATE_PIECES = 320  # of a streamed response, written at once as they are; the system takes 1,024 buffers
-OUTPUT_STEP_BYTES = 256 * 1024  # written at once of a response that waited for its client
-# Of a streamed response, in the transport's write buffer before it pauses; also as a share of the budget.
-STREAM_WRITE_BUFFER_BYTES, STREAM_WRITE_BUFFER_SHARE = 64 * 1024, 1 / 512
-STALLED_HOLDER_SECONDS = 0.5  # without memory, a client that sends nothing for this time may lose its request
-STARVED_HOLDER_SECONDS = 1.0  # the same for a request that is not read for lack of memory
-STALLED_HOLDERS_SHARE = 0.1  # of the budget, which is freed of such clients at a time
-EARLY_FORWARD_SHARE = 0.15  # of the client connections, that may be forwarded early without memory
-MAX_CACHED_WEIGHTS = 256  # distinct X-Weight values whose parsed form is cached
-MAX_TIMEOUT_SECONDS = 86400.0  # a longer X-Timeout is rejected as invalid
-
-SUPPORTED_VERSIONS = ("1.0", "1.1")
-DECIMAL_PATTERN = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
-CUSTOMER_PATTERN = re.compile(rb"[0-9a-fA-F]{16}")
-REQUEST_ID_PATTERN = re.compile(rb"[A-Za-z0-9._~-]{1,128}")
-REASON_PHRASES = {
-    200: b"OK",
-    400: b"Bad Request",
-    404: b"Not Found",
-    405: b"Method Not Allowed",
-    408: b"Request Timeout",
-    413: b"Content Too Large",
-    431: b"Request Header Fields Too Large",
-    500: b"Internal Server Error",
-    501: b"Not Implemented",
-    502: b"Bad Gateway",
-    503: b"Service Unavailable",
-    504: b"Gateway Timeout",
-    505: b"HTTP Version Not Supported",
-}
-# Headers that are interpreted here; an X- header among them may occur once.
-INTERPRETED_HEADERS = frozenset(
-    (
-        b"x-priority-class",
-        b"x-request-id",
-        b"x-timeout",
-        b"x-tariff",
-        b"x-weight",
-        b"x-retried",
-        b"content-length",
-        b"transfer-encoding",
-        b"expect",
-    )
-)
-# Headers that apply to one hop only or that the gatekeeper sets itself; all others are forwarded to the worker.
-NOT_FORWARDED_HEADERS = HOP_BY_HOP | {b"x-timeout", b"expect"}
+log = logging.getLogger("oliveloft")
 
 
 class PauseReason(enum.Enum):
@@ -117,81 +71,6 @@
 NOT_PAUSED: frozenset[PauseReason] = frozenset()
 
 
-class BadRequest(Exception):
-    """A request that is rejected without being dispatched: `status` of the reply, and the reason as its body."""
-
-    def __init__(self, status: int, reason: str) -> None:
-        super().__init__(reason)
-        self.status = status
-
-
-class IncomingRequest:
-    """A request while it is being received."""
-
-    __slots__ = (
-        "received_at",
-        "method",
-        "url",
-        "headers",
-        "forwarded_lines",
-        "duplicate_header",
-        "extension_headers",
-        "body",
-        "head_size",
-        "size",
-        "trailer_size",
-        "keep_alive",
-        "rejection",
-        "streamed_body",
-        "content_length",
-        "dispatched",
-        "is_http_1_0",
-    )
-
-    def __init__(self, received_at: float) -> None:
-        self.received_at = received_at  # when its last byte was received, once it is complete: its deadline counts on
-        self.method = b""
-        self.url = b""
-        self.headers: dict[bytes, bytes] = {}  # those of INTERPRETED_HEADERS
-        # Many short lines, or small pieces of a body, take no more memory than their bytes.
-        self.forwarded_lines = bytearray()  # the header lines that are forwarded to the worker
-        self.body = bytearray()  # unless it is streamed
-        self.duplicate_header = b""  # an X- header that occurs more than once
-        self.extension_headers = 0  # X- headers that are not interpreted here
-        self.head_size = 0  # bytes of the head
-        self.size = 0  # bytes of the body
-        self.trailer_size = 0  # bytes of the trailer fields
-        self.keep_alive = True
-        self.rejection: tuple[int, str] | None = None
-        self.streamed_body: Body | None = None  # set if the body is too large to buffer: forwarded as it is received
-        self.content_length: int | None = None  # the announced length of the body
-        self.dispatched = False  # dispatched, or answered, before all of it was received
-        self.is_http_1_0 = False
-
-    def move_body(self) -> None:
-        """Move what was received of a streamed body to its buffer."""
-        if self.body and self.streamed_body is not None:
-            data, self.body = self.body, bytearray()
-            self.streamed_body.append(data)
-
-    @property
-    def queued_bytes(self) -> int:
-        """What the request takes while it waits behind others."""
-        return QUEUED_REQUEST_BYTES + self.head_size + len(self.body)
-
-
-def _duplicate_extension_header(lines: bytearray) -> bytes:
-    """The name, in lower case, of an X- header that occurs more than once in these header lines; empty without one."""
-    names = set()
-    for line in lines.split(b"\r\n"):
-        name = bytes(line.partition(b":")[0]).lower()
-        if name.startswith(b"x-"):
-            if name in names:
-                return name
-            names.add(name)
-    return b""
-
-
 class ClientConnection(asyncio.BufferedProtocol):
     """The protocol of one client connection: serves pipelined requests one after another and replies in order."""
 
@@ -526,16 +405,7 @@
                 raise BadRequest(431, "trailers too large")
             return
         self._add_head_bytes(incoming, len(name) + len(value) + 4)
-        lower_name = name.lower()
-        value = value.strip(b" \t")  # surrounding whitespace is not part of the value (RFC 9110, 5.5)
-        if lower_name in INTERPRETED_HEADERS:
-            if lower_name in incoming.headers:
-                incoming.duplicate_header = lower_name if lower_name.startswith(b"x-") else incoming.duplicate_header
-            incoming.headers[lower_name] = value
-        elif lower_name.startswith(b"x-"):
-            incoming.extension_headers += 1
-        if lower_name not in NOT_FORWARDED_HEADERS:
-            incoming.forwarded_lines += b"%b: %b\r\n" % (name, value)
+        incoming.add_header(name, value)
 
     def _add_head_bytes(self, incoming: IncomingRequest, size: int) -> None:
         incoming.head_size += size
@@ -550,20 +420,10 @@
         incoming.method = parser.get_method()
         if parser.should_upgrade():
             raise BadRequest(501, "no upgrade is served")
-        if parser.get_http_version() not in SUPPORTED_VERSIONS:
-            raise BadRequest(505, "HTTP version")
-        coding = incoming.headers.get(b"transfer-encoding")
-        if coding is not None and (coding.lower() != b"chunked" or parser.get_http_version() == "1.0"):
-            raise BadRequest(501, "Transfer-Encoding")  # the parser accepts codings that are not decoded here
-        length = incoming.headers.get(b"content-length")
-        incoming.is_http_1_0 = parser.get_http_version() == "1.0"
+        incoming.check_framing(parser.get_http_version(), self._server.max_body_bytes)
         self._last_progress = self._server.loop.time()
-        if length is not None:
-            incoming.content_length = int(length)
-            if incoming.content_length > self._server.max_body_bytes:
-                raise BadRequest(413, "body too large")
-            if incoming.content_length > MAX_BUFFERED_BODY_BYTES:
-                self._start_streaming_body(incoming)
+        if (incoming.content_length or 0) > MAX_BUFFERED_BODY_BYTES:
+            self._start_streaming_body(incoming)
         if (
             incoming.headers.get(b"expect", b"").lower() == b"100-continue"
             and not self._busy
@@ -746,7 +606,7 @@
             self.reply(200 if ready else 503, b"", b"ok\n" if ready and incoming.method == b"GET" else b"")
             return
         server, now = self._server, self._server.loop.time()
-        event, head, deadline = server.parse_request(incoming, path, query, now)
+        event, head, deadline = server.validator.validate(incoming, path, query, now)
         server.valid_request_received(self)
         if self.over_limit or server.shutdown_expired:
             self.reply(503, b"Retry-After: 0.1\r\n", b"")
@@ -800,17 +660,7 @@
         self.waiting_since = self._server.loop.time()
         if self.sent_valid_request:
             self._server.reply_sent(self)
-        transport.write(
-            b"HTTP/1.1 %d %b\r\n%bContent-Length: %d\r\n%b\r\n%b"
-            % (
-                status,
-                REASON_PHRASES[status],
-                headers,
-                len(body),
-                b"" if keep_alive else b"Connection: close\r\n",
-                body,
-            )
-        )
+        transport.write(format_reply(status, headers, body, keep_alive))
         if keep_alive:
             if self._queue or self._incoming is not None and incomplete is None:
                 self._server.loop.call_soon(self._serve_next)
@@ -857,14 +707,7 @@
             self._keep_alive = False  # the close of the connection marks the end of the response
         if self._server.shutting_down or self._server.presence.closes_connections():
             self._keep_alive = self._keep_alive and (self._server.hand_off is not None or bool(self._queue))
-        framing = (
-            b"Transfer-Encoding: chunked\r\n"
-            if self._chunked
-            else (b"Content-Length: %d\r\n" % length if length is not None else b"")
-        )
-        transport.write(
-            b"HTTP/1.1 200 OK\r\n%b%b%b\r\n" % (headers, framing, b"" if self._keep_alive else b"Connection: close\r\n")
-        )
+        transport.write(format_stream_head(headers, length, self._chunked, self._keep_alive))
 
     def write(self, pieces: list[bytes]) -> bool:
         """Write pieces of the response; return whether more may follow at once.
@@ -1050,297 +893,3 @@
             self._reject_input(503, "memory is scarce")
         else:
             self._reject_input(408, "the request stands still, and memory is scarce")
-
-
-class Server:
-    """The client connections of the process, their limits, and the validation of requests.
-
-    `max_units` bounds the units of one request. At most `connection_limit` connections are open, at most `max_proven`
-    of them after a valid request. `max_body_bytes` bounds one request body, `memory` all that connections hold.
-    """
-
-    def __init__(
-        self,
-        loop: asyncio.AbstractEventLoop,
-        settings: interface.Settings,
-        max_units: float,
-        connection_limit: int,
-        max_proven: int,
-        dispatcher: RequestDispatcher,
-        presence: Presence | None = None,
-        max_body_bytes: int = buffering.MAX_BODY_BYTES,
-        memory: ConnectionMemory | None = None,
-    ) -> None:
-        self.loop, self.dispatcher = loop, dispatcher
-        self.guard = dispatcher.guard
-        self.presence = Presence() if presence is None else presence
-        self.max_body_bytes = max(max_body_bytes, MAX_BUFFERED_BODY_BYTES)
-        self.memory = ConnectionMemory() if memory is None else memory
-        self.budget = self.memory.budget
-        self.forwarding: set[ClientConnection] = set()  # clients whose request is forwarded while it arrives
-        self.shutting_down = False  # shutdown has begun: every further reply closes its connection
-        self.shutdown_expired = False  # the shutdown deadline has passed: further requests are refused
-        self._connection_count = 0  # connections accepted since the start
-        self.all_closed: asyncio.Event = asyncio.Event()
-        self._connection_limit, self._max_proven = connection_limit, max_proven
-        self._max_units, self._gateways = max_units, settings.gateways
-        self._classes = {c.name.encode(): c for c in settings.classes}
-        self._clients: dict[ClientConnection, None] = {}
-        self._unproven: dict[ClientConnection, None] = {}  # no valid request yet; ordered by connect time
-        # At least one valid request; ordered by the time of the last reply.
-        self._proven: dict[ClientConnection, None] = {}
-        self._plans = {p.name.encode() for p in settings.plans}
-        self._has_workers = self._stopping = False
-        self.accepting = False  # the process accepts client connections
-        # Set during a hot restart: passes a descriptor, and whether a valid request was received on it, to the
-        # successor process, and returns whether that took it.
-        self.hand_off: Callable[[int, bool], bool] | None = None
-        self._weight_cache: dict[bytes, tuple[float, int, int]] = {}
-
-    def may_forward_early(self) -> bool:
-        """Whether a request may be forwarded before enough of it is here, as memory is scarce.
-
-        Each takes a connection to a worker for as long as its client sends.
-        """
-        return len(self.forwarding) < EARLY_FORWARD_SHARE * self._connection_limit
-
-    def workers_available(self) -> None:
-        """Record that workers are known."""
-        self._has_workers = True
-
-    def begin_shutdown(self) -> None:
-        """Report not ready from now on; requests that still arrive are served."""
-        self._stopping = True
-
-    def ready(self) -> bool:
-        """Whether load may be sent to this process; answered at /healthz."""
-        return self._has_workers and not self._stopping and self.accepting and self.presence.draining_since is None
-
-    def health(self) -> tuple[bool, str]:
-        """Whether load may be sent to this process, and a description or the reason why not."""
-        if self.hand_off is not None:
-            return False, "another process serves in this one's place"
-        if self.ready():
-            return True, f"serving, {len(self._clients)} connections"
-        if self._stopping:
-            return False, "stopping"
-        return False, "sending clients away" if self.presence.draining_since is not None else "no workers are known yet"
-
-    def client_connected(self, client: ClientConnection) -> None:
-        """Register a connection. At the limit, close another one to make room, or refuse this one.
-
-        The oldest connection without a valid request is closed first, as well-behaved clients send a request as soon as
-        they have connected; then the one that has been idle the longest.
-        """
-        if len(self._clients) >= self._connection_limit:
-            if (other := next(iter(self._unproven), None)) is not None:
-                self._unproven.pop(other)
-                other.abort()
-            elif (other := self._longest_idle()) is not None:
-                other.close()  # not aborted: its last reply may still be in the write buffer
-            elif len(self._clients) < self._connection_limit + MAX_OVERFLOW_CONNECTIONS:
-                client.over_limit = True
-            else:
-                client.abort()  # keeps descriptors free for workers and discovery
-        self._connection_count += 1
-        self._clients[client] = self._unproven[client] = None
-
-    def make_room(self) -> None:
-        """Free a descriptor for a new client: close the connection that has been idle the longest.
-
-        If no connection with a valid request is idle, the oldest idle one without is closed.
-        """
-        other = self._longest_idle() or next((client for client in self._unproven if client.is_idle()), None)
-        if other is not None:
-            other.close()
-
-    def valid_request_received(self, client: ClientConnection) -> None:
-        """Record the first valid request on a connection; close the longest idle one if too many are proven."""
-        if client.sent_valid_request:
-            return
-        client.sent_valid_request = True
-        self._unproven.pop(client, None)
-        self._proven[client] = None
-        if len(self._proven) > self._max_proven and (other := self._longest_idle()) is not None:
-            # Clients that open a connection for each request and keep it would otherwise reach their own limit on
-            # open connections, and could send no further request.
-            other.close()
-
-    def reply_sent(self, client: ClientConnection) -> None:
-        """Move a connection to the end of the idle order after a reply."""
-        self._proven.pop(client, None)
-        self._proven[client] = None
-
-    def _longest_idle(self) -> ClientConnection | None:
-        """The connection with a valid request that has been idle the longest, or None."""
-        return next((client for client in self._proven if client.is_idle()), None)
-
-    def client_disconnected(self, client: ClientConnection) -> None:
-        """Remove a closed connection."""
-        self._clients.pop(client, None)
-        self._unproven.pop(client, None)
-        self._proven.pop(client, None)
-        self.forwarding.discard(client)
-        if self.shutting_down and not self._clients:
-            self.all_closed.set()
-
-    def sweep(self) -> None:
-        """Apply the timeouts to all connections; hand off, or close, the idle ones where that is due."""
-        now = self.loop.time()
-        if self.hand_off is not None:
-            self.hand_off_idle()
-        closing_idle = self.presence.closes_idle_connections(now)
-        for client in list(self._clients):
-            if closing_idle and client.is_idle():
-                client.close()
-            else:
-                client.check_timeouts(now)
-        self.budget.wake()
-        if self.budget.is_exhausted:
-            self._reject_stalled_clients(now)
-
-    def _reject_stalled_clients(self, now: float) -> None:
-        """Free a part of the budget of the requests that hold much of it and make no progress, the worst ones first."""
-        limit_bytes = (1 - STALLED_HOLDERS_SHARE) * self.budget.limit_bytes
-        costs = {client: client.stalled_byte_seconds(now) for client in self._clients}
-        for client in sorted(costs, key=costs.__getitem__, reverse=True):
-            if not costs[client] or self.budget.used_bytes <= limit_bytes:
-                return
-            client.reject_stalled()
-
-    def hand_off_idle(self) -> None:
-        """Pass all idle connections to the successor process, if there is one."""
-        if self.hand_off is not None:
-            for client in list(self._clients):
-                client.hand_off()
-
-    async def adopt(self, sock: socket.socket, sent_valid_request: bool) -> None:
-        """Take over an idle connection from the predecessor process; its unread input is read here."""
-        client = ClientConnection(self)
-        try:
-            await self.loop.connect_accepted_socket(lambda: client, sock)
-        except OSError:
-            sock.close()
-            return
-        if sent_valid_request:
-            self.valid_request_received(client)
-
-    async def drain(self, deadline: float) -> None:
-        """Answer each request with `Connection: close` until all connections are closed, or until `deadline`.
-
-        The close of an idle connection may cross a request, which the client then sends again on a new connection.
-        So the drain ends only after SHUTDOWN_QUIET_SECONDS without a new connection. Requests that are still pending at
-        the deadline are answered then.
-        """
-        self.shutting_down = True
-        self.hand_off_idle()
-        for client in list(self._clients):
-            if client.is_idle():
-                client.close()
-        connection_count = -1
-        while (remaining_seconds := deadline - self.loop.time()) > 0 and (
-            self._clients or connection_count != self._connection_count
-        ):
-            if await self._wait_until_empty(remaining_seconds):
-                connection_count = self._connection_count
-                await asyncio.sleep(min(SHUTDOWN_QUIET_SECONDS, max(0.0, deadline - self.loop.time())))
-        if self._clients:
-            self.shutdown_expired = True
-            self.dispatcher.end_all_requests()
-            if not await self._wait_until_empty(SHUTDOWN_FLUSH_SECONDS):
-                log.warning("%d client connections still open after the shutdown deadline", len(self._clients))
-
-    async def _wait_until_empty(self, timeout_seconds: float) -> bool:
-        """Wait until all connections are closed; return whether that happened in time."""
-        if self._clients:
-            self.all_closed.clear()
-            try:
-                await asyncio.wait_for(self.all_closed.wait(), timeout_seconds)
-            except TimeoutError:
-                return False
-        return True
-
-    def parse_request(
-        self, incoming: IncomingRequest, path: bytes, query: bytes, now: float
-    ) -> tuple[interface.Request, bytes, float]:
-        """Validate a request; return the gateway's event, the head for the worker and the deadline (loop time).
-
-        Raises BadRequest.
-        """
-        first_segment = path[1:].partition(b"/")[0]
-        headers = incoming.headers
-        class_name = headers.get(b"x-priority-class")
-        klass = self._classes.get(first_segment)
-        if klass is None:
-            raise BadRequest(404, "path")  # the first path segment must name a request class
-        if class_name != first_segment:
-            raise BadRequest(400, "X-Priority-Class")  # header and path must name the same class
-        if incoming.method != (b"GET" if klass.effect == interface.PURE else b"POST"):
-            raise BadRequest(405, "method")
-        if (incoming.body or incoming.streamed_body is not None) and klass.effect == interface.PURE:
-            raise BadRequest(400, "body")
-        if incoming.extension_headers > 1 and not incoming.duplicate_header:
-            incoming.duplicate_header = _duplicate_extension_header(incoming.forwarded_lines)
-        if incoming.duplicate_header:
-            raise BadRequest(400, incoming.duplicate_header.decode("latin-1"))
-        request_id, timeout = headers.get(b"x-request-id", b""), headers.get(b"x-timeout", b"")
-        if not REQUEST_ID_PATTERN.fullmatch(request_id):
-            raise BadRequest(400, "X-Request-ID")
-        if not DECIMAL_PATTERN.fullmatch(timeout) or float(timeout) > MAX_TIMEOUT_SECONDS:
-            raise BadRequest(400, "X-Timeout")
-        plan = headers.get(b"x-tariff", b"")
-        if plan not in self._plans:
-            raise BadRequest(400, "X-Tariff")
-        customers = [part[9:] for part in query.split(b"&") if part.startswith(b"customer=")]
-        if len(customers) != 1 or not CUSTOMER_PATTERN.fullmatch(customers[0]) or int(customers[0], 16) >= 2**33:
-            raise BadRequest(400, "customer")
-        weight = headers.get(b"x-weight", b"")
-        parsed_weight = self._weight_cache.get(weight)  # few distinct values are in use
-        if parsed_weight is None:
-            parsed_weight = self._parse_weight(weight)
-            if len(self._weight_cache) < MAX_CACHED_WEIGHTS:
-                self._weight_cache[weight] = parsed_weight
-        units, gateway_count, first_gateway = parsed_weight
-        deadline = incoming.received_at + min(float(timeout), klass.deadline)
-        request_name = request_id.decode()
-        if self.dispatcher.may_run_twice(request_name):
-            raise BadRequest(400, "X-Request-ID is in use")
-        event = interface.Request(
-            request=request_name,
-            klass=class_name.decode(),
-            plan=plan.decode(),
-            customer=customers[0].decode().lower(),
-            time_left=max(0.0, deadline - now),
-            units=units,
-            gateway_count=gateway_count,
-            client_retry=headers.get(b"x-retried") == b"1",
-            first_gateway=first_gateway,
-            complete=incoming.streamed_body is None or incoming.streamed_body.is_complete,
-            long_body=incoming.streamed_body is not None,
-        )
-        target = path + b"?" + query
-        size = len(incoming.body)
-        if incoming.streamed_body is not None:
-            if incoming.streamed_body.is_complete:
-                incoming.streamed_body.content_length = incoming.streamed_body.size
-            size = incoming.streamed_body.content_length or 0
-        length = b"Content-Length: %d\r\n" % size if incoming.method == b"POST" or size else b""
-        if incoming.streamed_body is not None and incoming.streamed_body.content_length is None:
-            length = b"Transfer-Encoding: chunked\r\n"
-        head = b"%b %b HTTP/1.1\r\n%b%b" % (incoming.method, target, incoming.forwarded_lines, length)
-        return event, head, deadline
-
-    def _parse_weight(self, text: bytes) -> tuple[float, int, int]:
-        """The units, gateway count (`spread`) and first gateway of an X-Weight header. Raises BadRequest."""
-        parts = dict(part.strip().partition(b"=")[::2] for part in text.split(b","))
-        units, gateway_count, first_gateway = (parts.get(key, b"") for key in (b"units", b"spread", b"first"))
-        if not all(DECIMAL_PATTERN.fullmatch(part) for part in (units, gateway_count, first_gateway)):
-            raise BadRequest(400, "X-Weight")
-        if (
-            b"." in gateway_count + first_gateway
-            or not 0 < float(units) <= self._max_units
-            or not 1 <= int(gateway_count) <= self._gateways
-            or int(first_gateway) >= self._gateways
-        ):
-            raise BadRequest(400, "X-Weight")
-        return float(units), int(gateway_count), int(first_gateway)
--- a/oliveloft/gatekeeper/process.py
+++ b/oliveloft/gatekeeper/process.py
@@ -30,8 +30,9 @@
 from oliveloft.discovery.policy import FIRST_ANSWER_SECONDS
 from oliveloft.discovery.watch import DiscoveryWatch, WatchState
 from oliveloft.dispatch.dispatcher import RequestDispatcher
-from oliveloft.front.http import ClientConnection, Server
+from oliveloft.front.connection import ClientConnection
 from oliveloft.front.listener import ClientListener, listening_socket
+from oliveloft.front.server import Server
 from oliveloft.manage.operations import Operations
 from oliveloft.manage.server import MAX_CALLERS, ManagementServer
 from oliveloft.shared_types import DiscoveryUpdate
--- a/oliveloft/manage/operations.py
+++ b/oliveloft/manage/operations.py
@@ -9,7 +9,7 @@
 
 from micagate.operating.presence import Presence
 from oliveloft.dispatch.dispatcher import RequestDispatcher
-from oliveloft.front.http import Server
+from oliveloft.front.server import Server
 from oliveloft.manage import protocol
 
 if TYPE_CHECKING:
--- a/oliveloft/takeover/handoff.py
+++ b/oliveloft/takeover/handoff.py
@@ -20,8 +20,8 @@
 from oliveloft.backend.pool import ConnectionPool
 from oliveloft.discovery.watch import DiscoveryWatch
 from oliveloft.dispatch.dispatcher import RequestDispatcher
-from oliveloft.front.http import Server
 from oliveloft.front.listener import ClientListener
+from oliveloft.front.server import Server
 from oliveloft.manage import protocol
 from oliveloft.shared_types import DiscoveryUpdate, Endpoint
 from oliveloft.takeover import wire
--- a/tests/front/test_one_answer.py
+++ b/tests/front/test_one_answer.py
@@ -12,7 +12,8 @@
 from micagate import Gateway, interface
 from oliveloft.backend.attempt import Response
 from oliveloft.dispatch.dispatcher import RequestDispatcher
-from oliveloft.front.http import ClientConnection, Server
+from oliveloft.front.connection import ClientConnection
+from oliveloft.front.server import Server
 from oliveloft.guard import Guard
 from rig.loops import SimulatedLoop, SimulatedTransport
 from rig.simulation import Clock
--- a/tests/gatekeeper/test_memory.py
+++ b/tests/gatekeeper/test_memory.py
@@ -12,7 +12,8 @@
 from oliveloft.backend.idle_timeout import IdleTimeout
 from oliveloft.connection_memory import ConnectionMemory
 from oliveloft.discovery.call import DiscoveryCall
-from oliveloft.front.http import SLOW_CLIENT_TIMEOUT_SECONDS, ClientConnection
+from oliveloft.front.connection import ClientConnection
+from oliveloft.front.limits import SLOW_CLIENT_TIMEOUT_SECONDS
 from rig.driver import Driver, sends
 from rig.fake_servers import Client as Peer
 from rig.fake_servers import FakeWorker, run, running_gatekeeper, until
