Take discovery's answers that end with their connection

Cause: DiscoveryCall had no eof_received, so such an answer was never whole.

Fix: an orderly end completes an answer that announced neither a length nor chunks; a reset does not.

--- a/oliveloft/discovery/call.py
+++ b/oliveloft/discovery/call.py
@@ -36,6 +36,7 @@
         self._body: list[bytes] = []
         self._size_bytes = 0
         self._complete = self._connection_closes = self._cancelled = False
+        self._head_complete = self._has_framing = False  # of the answer; it announces a length or chunks
         self.index: int | None = None  # version of the list that was held when the call was sent
         self.wait_seconds = 0.0  # the wait (long poll) that the call asked for
         # Loop times: of the last call, and of the last progress (a connection or received bytes).
@@ -67,6 +68,7 @@
     def send_request(self, index: int | None, wait_seconds: float) -> None:
         """Send a call for a snapshot (no index), or for the changes since a version."""
         self._body, self._size_bytes, self._complete = [], 0, False
+        self._head_complete = self._has_framing = False
         self.index, self.wait_seconds = index, 0.0 if index is None else wait_seconds
         self.sent_at = self.progressed_at = self._loop.time()
         self.awaiting_answer = True
@@ -86,8 +88,29 @@
             self._owner.malformed(self, f"malformed answer: {error}")
             return
         if self._complete:
-            self.awaiting_answer = False
-            self._owner.answered(self, self._parser.get_status_code(), b"".join(self._body), self._connection_closes)
+            self._pass_on()
+
+    def _pass_on(self) -> None:
+        """Pass a complete answer on to the owner."""
+        self.awaiting_answer = False
+        status = cast(httptools.HttpResponseParser, self._parser).get_status_code()
+        self._owner.answered(self, status, b"".join(self._body), self._connection_closes)
+
+    def eof_received(self) -> bool:
+        """Handle the end of the data: it completes an answer without a length or chunks, as a reset does not."""
+        ends_answer = self._head_complete and not self._has_framing and not self._complete
+        if ends_answer and self.awaiting_answer and not self._cancelled and self._parser is not None:
+            self._complete = self._connection_closes = True
+            self._pass_on()
+        return False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Note whether the answer announces where it ends."""
+        self._has_framing = self._has_framing or name.lower() in (b"content-length", b"transfer-encoding")
+
+    def on_headers_complete(self) -> None:
+        """Note that the head of the answer is complete."""
+        self._head_complete = True
 
     def on_body(self, data: bytes) -> None:
         """Append a chunk of the body; ValueError if that is too large."""
--- a/rig/fake_servers.py
+++ b/rig/fake_servers.py
@@ -257,6 +257,7 @@
         self.requested_paths: list[str] = []
         self.unresponsive = False
         self.raw: bytes | None = None  # sent in place of the list
+        self.without_length = False  # answers end with their connection
         self._changed = asyncio.Event()
         self._delta: list[Any] = []
         self._connections: list[tuple[asyncio.StreamReader, asyncio.StreamWriter]] = []
@@ -306,6 +307,9 @@
                 self._changed.clear()
                 entries, self._delta = self._delta, []
             body = json.dumps({"index": self.index, "snapshot": is_snapshot, "endpoints": entries, "novel": 1}).encode()
+            if self.without_length:
+                writer.write(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + body)
+                return
             writer.write(
                 self.raw
                 if self.raw is not None
--- a/tests/discovery/test_discovery.py
+++ b/tests/discovery/test_discovery.py
@@ -124,6 +124,23 @@
     run(scenario())
 
 
+# Guards against: answers without a length were never taken, and requests went on to workers that drain.
+def test_an_answer_that_ends_with_its_connection_is_applied():
+    async def scenario():
+        draining, other = FakeWorker("w"), FakeWorker("v")
+        async with running_gatekeeper(draining, other) as (gatekeeper, discovery, client):
+            discovery.without_length = True
+            discovery.change(draining.entry(status="draining"))
+            await until(lambda: f"index={discovery.index}&" in discovery.requested_paths[-1])
+            before = len(draining.received)
+            for _ in range(8):
+                assert (await client.fetch("write")).status == 200
+            assert len(draining.received) == before
+            assert not any("discovery" in line for line in gatekeeper.log)
+
+    run(scenario())
+
+
 def test_an_unresponsive_agent_is_called_again_and_an_open_long_poll_is_not_cut_short(monkeypatch):
     monkeypatch.setattr(policy, "WAIT_SECONDS", 0.05)
     monkeypatch.setattr(policy, "ANSWER_TIMEOUT_SECONDS", 0.2)
