Release the memory of long requests that are rejected or left in the queue

Cause: the body of a request that was whole when it was rejected, and those of requests queued when their client left, were never dropped.

Fix: every end of a request that is not dispatched drops its body.

--- a/oliveloft/front/codec.py
+++ b/oliveloft/front/codec.py
@@ -129,6 +129,11 @@
             if self.content_length > max_body_bytes:
                 raise BadRequest(413, "body too large")
 
+    def drop_body(self) -> None:
+        """Release a streamed body: the request is not dispatched."""
+        if self.streamed_body is not None:
+            self.streamed_body.drop()
+
     def move_body(self) -> None:
         """Move what was received of a streamed body to its buffer."""
         if self.body and self.streamed_body is not None:
--- a/oliveloft/front/connection.py
+++ b/oliveloft/front/connection.py
@@ -165,13 +165,13 @@
         """Cancel the requests of a client that has disconnected."""
         self._transport = self._parser = None  # parser and protocol refer to each other
         incoming, self._incoming = self._incoming, None
-        self._queue.clear()
+        self._drop_queue()
         self._unparsed_input, self._pending_output = b"", None
         self._queued_size = self._current_bytes = self._unsent_bytes = self._unparsed_bytes = 0
         current, self._current = self._current, None
         source, self._response_source = self._response_source, None
-        if incoming is not None and incoming.streamed_body is not None:
-            incoming.streamed_body.drop()
+        if incoming is not None:
+            incoming.drop_body()
         if source is not None:
             source.cancel()
         self._update_charge()
@@ -544,8 +544,7 @@
         self._input_ignored, self._parser, self._unparsed_bytes = True, None, 0
         incoming = self._incoming or IncomingRequest(self._server.loop.time())
         self._incoming = None
-        if incoming.streamed_body is not None:
-            incoming.streamed_body.drop()
+        incoming.drop_body()
         if incoming.dispatched:
             # Part of it has been forwarded: the worker sees an incomplete request, the client a closed connection.
             if self._transport is not None:
@@ -584,10 +583,18 @@
             try:
                 self._dispatch(incoming)
             except BadRequest as error:
+                incoming.drop_body()
                 self._reply_rejection(error.status, str(error))
         if self._incoming is not None and self._incoming.streamed_body is not None and not self._final_reply_sent:
             self._forward_streamed_body(self._incoming)
 
+    def _drop_queue(self) -> None:
+        """Release the queued requests: nothing more is answered on this connection."""
+        for incoming in self._queue:
+            incoming.drop_body()
+        self._queue.clear()
+        self._queued_size = 0
+
     def _dispatch(self, incoming: IncomingRequest) -> None:
         """Answer a health check, or submit the request to the dispatcher. Raises BadRequest if it is invalid."""
         path, _, query = incoming.url.partition(b"?")
@@ -602,6 +609,7 @@
         if path == b"/healthz":
             if incoming.method not in (b"GET", b"HEAD"):
                 raise BadRequest(405, "method")
+            incoming.drop_body()
             ready = self._server.ready()
             self.reply(200 if ready else 503, b"", b"ok\n" if ready and incoming.method == b"GET" else b"")
             return
@@ -609,6 +617,7 @@
         event, head, deadline = server.validator.validate(incoming, path, query, now)
         server.valid_request_received(self)
         if self.over_limit or server.shutdown_expired:
+            incoming.drop_body()
             self.reply(503, b"Retry-After: 0.1\r\n", b"")
             return
         # The reply may be written before `submit` returns; then a disconnect has nothing left to cancel.
@@ -672,7 +681,7 @@
             self._final_reply_sent = True
             return
         self._input_ignored = self._final_reply_sent = True
-        self._queue.clear()
+        self._drop_queue()
         if self.lingering:
             transport.write_eof()
             self._server.loop.call_later(LINGER_SECONDS, self.abort)
--- a/tests/front/test_memory_limit.py
+++ b/tests/front/test_memory_limit.py
@@ -66,6 +66,26 @@
     run(scenario())
 
 
+# Guards against: a request that was rejected when it was whole kept its bytes of the budget until the process ended.
+def test_rejected_requests_release_their_memory():
+    async def scenario():
+        workers = BulkWorker("w"), BulkWorker("v")
+        async with running_gatekeeper(*workers, limits={"held_mb": 0.25}) as (gatekeeper, _, _):
+            for _ in range(4):
+                client = await BulkClient.connect(gatekeeper.port)
+                assert (await client.fetch(size=100_000, plan="unknown"))[0] == 400
+            leaving = await gatekeeper.client()  # leaves with a whole request queued behind one in progress
+            slow = Client.request("read", path="/read?customer=00000000000000aa&give=100000&pace=50000")
+            leaving.send(slow + Client.request("write", body=bytes(200_000)))
+            await until(lambda: any(each[1] == 0 for worker in workers for each in worker.received))
+            leaving.writer.transport.abort()
+            await gatekeeper.health()
+            client = await BulkClient.connect(gatekeeper.port)
+            assert (await client.fetch(size=200_000, worker_query="turn=1"))[0] == 200  # buffered for a second attempt
+
+    run(scenario())
+
+
 # Guards against: while the budget was used up by requests that stand still, a sound upload waited for their time-out.
 def test_an_upload_is_served_while_others_that_stand_still_use_up_the_memory():
     async def scenario():
