--- a/oliveloft/backend/send_queue.py
+++ b/oliveloft/backend/send_queue.py
@@ -25,6 +25,14 @@
 def abort_unsent(transport: asyncio.Transport) -> None:
     """Close at once; with unacknowledged bytes by a reset, as the system would otherwise go on sending them."""
     if not transport.is_closing() and unacknowledged_bytes(transport):
+        reset(transport)
+    else:
+        transport.abort()
+
+
+def reset(transport: asyncio.Transport) -> None:
+    """Close at once by a reset, which the peer cannot take for an orderly end."""
+    if not transport.is_closing():
         transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
     transport.abort()
 
--- a/oliveloft/config/loading.py
+++ b/oliveloft/config/loading.py
@@ -22,7 +22,7 @@
 BYTES_PER_MB = 1024 * 1024
 BASE_MEMORY_MB = 48  # needed beside what connections hold, with some for what they leave unused in the heap
 # Connections may hold this share of the memory limit less BASE_MEMORY_MB, and at least MIN_BUFFER_MB.
-BUFFER_SHARE, MIN_BUFFER_MB = 0.75, 1
+BUFFER_SHARE, MIN_BUFFER_MB = 0.75, 0.75
 # With little memory there are fewer connections than descriptors: what the limit leaves to them, by what each takes
 # beside the bytes that it holds.
 PROCESS_MEMORY_MB, CONNECTION_BYTES, MIN_CONNECTIONS = 27, 7 * 1024, 64
--- a/oliveloft/front/connection.py
+++ b/oliveloft/front/connection.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import asyncio
-import enum
 import logging
 import math
 import os
@@ -20,6 +19,7 @@
 from micagate.bodies import buffering
 from micagate.invariants import Reason, RequestState, close_refusal
 from oliveloft.backend.limits import MAX_BUFFERED_BODY_BYTES, MAX_HEAD_BYTES, STALL_TIMEOUT_SECONDS
+from oliveloft.backend.send_queue import reset
 from oliveloft.bodies.body import Body
 from oliveloft.dispatch.dispatcher import Request
 from oliveloft.front.codec import BadRequest, IncomingRequest, format_reply, format_stream_head
@@ -50,6 +50,7 @@
     STREAM_WRITE_BUFFER_BYTES,
     STREAM_WRITE_BUFFER_SHARE,
 )
+from oliveloft.front.pausing import NOT_PAUSED, PauseReason
 from oliveloft.front.pending_output import PendingOutput
 from oliveloft.polling import poll_socket, unread_bytes
 from oliveloft.shared_types import BodySource
@@ -60,17 +61,6 @@
 log = logging.getLogger("oliveloft")
 
 
-class PauseReason(enum.Enum):
-    """Why a client is not read; it is read again when no reason is left."""
-
-    QUEUE_FULL = "queue full"  # too many requests wait behind the one in progress
-    INPUT_LEFT = "input left"  # others have their turn first, or a part of what was read is not parsed yet
-    NO_MEMORY = "no memory"  # the budget is used up, or the buffer of a streamed body is full
-
-
-NOT_PAUSED: frozenset[PauseReason] = frozenset()
-
-
 class ClientConnection(asyncio.BufferedProtocol):
     """The protocol of one client connection: serves pipelined requests one after another and replies in order."""
 
@@ -785,10 +775,10 @@
             self._server.loop.call_soon(self.hand_off)
 
     def abort_response(self) -> None:
-        """Close the connection: the client sees that the response is incomplete."""
+        """Reset the connection: the client sees that the response is incomplete, also if the close would end it."""
         self._response_source = None
         if self._transport is not None:
-            self._transport.abort()
+            reset(self._transport)
 
     def hand_off(self) -> None:
         """Pass the connection to the successor process, unless a request is in progress on it.
--- a/tests/front/test_slow_workers.py
+++ b/tests/front/test_slow_workers.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from rig.bulk import BulkClient, BulkWorker, body_checksum
-from rig.fake_servers import FakeWorker, reset, run, running_gatekeeper, until
+from rig.bulk import BulkClient, BulkWorker, body_checksum, read_body, read_head
+from rig.fake_servers import Client, FakeWorker, reset, run, running_gatekeeper, until
 
 MB = 1 << 20
 
@@ -45,7 +45,8 @@
 
 
 # Guards against: a response without a length that is reset on the way looked complete to its client.
-def test_a_streamed_response_without_a_length_that_is_reset_is_visibly_truncated():
+@pytest.mark.parametrize("version", ["1.0", "1.1"])
+def test_a_streamed_response_without_a_length_that_is_reset_is_visibly_truncated(version):
     async def give_and_reset(request, writer):
         writer.write(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n")
         for _ in range(15):
@@ -56,7 +57,9 @@
     async def scenario():
         async with running_gatekeeper(FakeWorker("w", give_and_reset)) as (gatekeeper, _, _):
             client = await BulkClient.connect(gatekeeper.port)
-            status, _, size, _, complete = await client.fetch("read", timeout=2.0)
-            assert status == 200 and size <= 60_000 and not complete
+            client.writer.write(Client.request("read").replace(b"HTTP/1.1", b"HTTP/%b" % version.encode(), 1))
+            response = await read_head(client.reader)
+            size, _, complete = await read_body(client.reader, response.headers)
+            assert response.status == 200 and size <= 60_000 and not complete
 
     run(scenario())
