Give connections a third of what the process leaves where the limit is low

Need: from 32 to 64 MB the budget was its least value, which was meant to come beside windows that are charged now, so that uploads would be held back more than there is need for. Change: at least a third of the limit less 30 MB; no limit has a smaller budget than before but those of 32 MB (0.75 MB).

--- a/oliveloft/config/loading.py
+++ b/oliveloft/config/loading.py
@@ -21,8 +21,10 @@
 MICROSECONDS_PER_SECOND = 1_000_000
 BYTES_PER_MB = 1024 * 1024
 BASE_MEMORY_MB = 48  # needed beside what connections hold, with some for what they leave unused in the heap
-# Connections may hold this share of the memory limit less BASE_MEMORY_MB, and at least MIN_BUFFER_MB.
+# Connections may hold this share of the memory limit less BASE_MEMORY_MB, and with little memory another share of what
+# the process alone leaves.
 BUFFER_SHARE, MIN_BUFFER_MB = 0.75, 0.75
+IDLE_MEMORY_MB, LOW_BUFFER_SHARE = 30, 0.33
 # With little memory there are fewer connections than descriptors: what the limit leaves to them, by what each takes
 # beside the bytes that it holds.
 PROCESS_MEMORY_MB, CONNECTION_BYTES, MIN_CONNECTIONS = 27, 7 * 1024, 64
@@ -179,12 +181,8 @@
     if isinstance(limits, dict) and "held_mb" in limits:
         return _megabytes(raw, "held_mb", buffering.MAX_BUFFERED_BYTES / BYTES_PER_MB)
     memory_mb = _megabytes(raw, "memory_mb", 192.0) / BYTES_PER_MB
-    return int(
-        max(
-            MIN_BUFFER_MB, min(buffering.MAX_BUFFERED_BYTES / BYTES_PER_MB, BUFFER_SHARE * (memory_mb - BASE_MEMORY_MB))
-        )
-        * BYTES_PER_MB
-    )
+    share_mb = max(BUFFER_SHARE * (memory_mb - BASE_MEMORY_MB), LOW_BUFFER_SHARE * (memory_mb - IDLE_MEMORY_MB))
+    return int(max(MIN_BUFFER_MB, min(buffering.MAX_BUFFERED_BYTES / BYTES_PER_MB, share_mb)) * BYTES_PER_MB)
 
 
 def _max_connections(raw: dict[str, Any]) -> int:
